--- /dev/null
+++ b/include/cornelspring/transport.hpp
@@ -0,0 +1,226 @@
+/** @file transport.hpp HTTP/2 streams between our processes (nghttp2) and HTTP towards callers (libwebsockets). */
+#pragma once
+
+#include <cornelspring/base.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelspring {
+
+/** One HTTP header. */
+struct http_header {
+    std::string name;  ///< Lower-case name.
+    std::string value; ///< Value.
+};
+
+/** A request as the transport delivers it to a handler or sends it to a peer. */
+struct http_request {
+    std::string method = "GET";       ///< HTTP method.
+    std::string path = "/";           ///< Path with query string.
+    std::vector<http_header> headers; ///< Headers other than pseudo-headers.
+    std::string body;                 ///< Body.
+    /** @return the value of header @p name, or "" when absent. @param name lower-case name. */
+    std::string header(std::string const& name) const;
+};
+
+/** A response. */
+struct http_response {
+    int status = 200;                 ///< HTTP status.
+    std::vector<http_header> headers; ///< Headers; content-type is set by the helpers below.
+    std::string body;                 ///< Body.
+    /** @return the value of header @p name, or "" when absent. @param name lower-case name. */
+    std::string header(std::string const& name) const;
+};
+
+/** @return a response carrying @p json_text as application/json. @param status HTTP status. @param json_text body. */
+http_response json_response(int status, std::string json_text);
+
+/**
+ * @return the JSON error response for @p failure: {"error": kind, "message", "remedy"}, with Retry-After
+ * when @p retry_after_s is positive.
+ * @param failure the error.
+ * @param retry_after_s seconds after which the caller may come back, or 0.
+ */
+http_response error_response(error const& failure, int retry_after_s = 0);
+
+/** Sends the response to one request; may be called from any thread, once. */
+using reply_fn = std::function<void(http_response)>;
+/** Handles one request; must call the reply function exactly once, now or later, from any thread. */
+using request_handler = std::function<void(http_request const&, reply_fn)>;
+
+/** Limits and identity of a server. */
+struct server_options {
+    endpoint listen{"127.0.0.1", 0};      ///< Address to bind; port 0 picks a free port.
+    std::size_t max_body_bytes = 1 << 20; ///< Larger bodies are refused with 413.
+    std::size_t max_connections = 1024;   ///< Connections above this are closed at once.
+    milliseconds tick_interval{100};      ///< How often the tick hook runs.
+};
+
+/**
+ * HTTP/2 server with prior knowledge (h2c) built on nghttp2 sessions over plain sockets.
+ * One task: a thread owns the listening socket, every connection and every stream; handlers run on it
+ * and replies come back to it as messages through a queue.
+ */
+class h2_server {
+public:
+    /**
+     * Binds the socket; the thread starts with start().
+     * @param options address and limits.
+     * @param handler called on the server thread for each complete request.
+     * @throw error unavailable when the address cannot be bound.
+     */
+    h2_server(server_options options, request_handler handler);
+    /** Stops the thread and closes every socket. */
+    ~h2_server();
+    h2_server(h2_server const&) = delete;
+    h2_server& operator=(h2_server const&) = delete;
+
+    /** @return the bound port. */
+    std::uint16_t port() const;
+    /** Starts the server thread. */
+    void start();
+    /** Sets a hook run on the server thread every tick with the present time. @param tick the hook. */
+    void set_tick(std::function<void(time_point)> tick);
+    /** Runs @p task on the server thread soon. Thread-safe. @param task the work. */
+    void post(std::function<void()> task);
+    /**
+     * Stops accepting, sends GOAWAY on every connection, and waits until every accepted request has been
+     * answered or @p limit has passed.
+     * @param limit longest wait.
+     * @return the number of requests still unanswered when it returned.
+     */
+    std::size_t drain(milliseconds limit);
+    /** @return the number of requests accepted and not yet answered. Thread-safe. */
+    std::size_t in_flight() const;
+    /** Freezes or thaws the given connection count: a frozen server reads nothing (fault injection). */
+    void set_frozen(bool frozen);
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< State owned by the server thread.
+};
+
+/** Why a request to a peer failed, in the terms the caller needs for "not run" and at-most-once. */
+enum class send_outcome {
+    answered, ///< A response arrived.
+    not_sent, ///< No byte of the request left this process: it did not run.
+    unknown,  ///< The request was sent, but no response came (timeout, reset, closed connection).
+};
+
+/** Result of one request to a peer. */
+struct client_result {
+    send_outcome outcome = send_outcome::not_sent; ///< What is known about the request.
+    http_response response;                        ///< The response when answered.
+    std::string detail;                            ///< Why it failed, for logs.
+};
+
+/** Called once with the result of a request, on the client thread. */
+using result_callback = std::function<void(client_result)>;
+
+/** Identifies a submitted request for cancellation. */
+using call_id = strong_id<struct call_id_tag, std::uint64_t>;
+
+/** Limits of the client's connections to one peer. */
+struct client_options {
+    milliseconds connect_timeout{1000};           ///< Longest wait for a TCP connection.
+    std::size_t max_streams_per_connection = 100; ///< Concurrent streams on one connection.
+};
+
+/**
+ * HTTP/2 client (h2c, prior knowledge) on nghttp2: one task whose thread owns a connection per peer,
+ * every stream and every timer. Requests arrive as messages; results leave through callbacks run on
+ * that thread, so code driven by callbacks needs no locks of its own.
+ */
+class h2_client {
+public:
+    /** Starts the client thread. @param options connection limits. */
+    explicit h2_client(client_options options = {});
+    /** Stops the thread; callbacks of requests still pending are not run. */
+    ~h2_client();
+    h2_client(h2_client const&) = delete;
+    h2_client& operator=(h2_client const&) = delete;
+
+    /**
+     * Sends @p request to @p peer. Thread-safe.
+     * @param peer address of the server.
+     * @param request the request.
+     * @param timeout time after which the request is reset and reported "unknown" (or "not sent").
+     * @param done called once with the result on the client thread.
+     * @return an id for cancel().
+     */
+    call_id submit(endpoint const& peer, http_request request, milliseconds timeout, result_callback done);
+    /** Resets the stream of @p id; its callback is not called. Thread-safe. @param id from submit(). */
+    void cancel(call_id id);
+    /** Runs @p task on the client thread. Thread-safe. @param task the work. */
+    void post(std::function<void()> task);
+    /**
+     * Sends and waits for the result; for tools and tests, not for the query path.
+     * @param peer address.
+     * @param request the request.
+     * @param timeout deadline.
+     * @return the result.
+     */
+    client_result call(endpoint const& peer, http_request request, milliseconds timeout);
+    /** Closes every connection to @p peer abruptly (fault injection and after a peer was removed). */
+    void drop_connections(endpoint const& peer);
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< State owned by the client thread.
+};
+
+/**
+ * HTTP/1.1 server for callers and operators on libwebsockets. One task: its service thread owns the
+ * context and every connection; replies come back to it as messages through a queue.
+ */
+class http_server {
+public:
+    /**
+     * Creates the libwebsockets context and binds the port.
+     * @param options address and limits.
+     * @param handler called on the service thread for each complete request.
+     * @throw error unavailable when the port cannot be bound.
+     */
+    http_server(server_options options, request_handler handler);
+    /** Stops the service thread and destroys the context. */
+    ~http_server();
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+
+    /** @return the bound port. */
+    std::uint16_t port() const;
+    /** Starts the service thread. */
+    void start();
+    /**
+     * Waits until every accepted request has been answered or @p limit passed.
+     * @param limit longest wait.
+     * @return requests still unanswered.
+     */
+    std::size_t drain(milliseconds limit);
+    /** @return requests accepted and not yet answered. Thread-safe. */
+    std::size_t in_flight() const;
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< State owned by the service thread.
+};
+
+/** Makes SIGTERM and SIGINT set a flag that wait_for_stop_signal() waits on; call early in main. */
+void install_stop_signals();
+
+/** Blocks until SIGTERM or SIGINT arrives. */
+void wait_for_stop_signal();
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/backend/main.cpp
@@ -0,0 +1,83 @@
+/** @file main.cpp cornel-backend: stand-in for a back end holding shards of the corpus, served over HTTP/2. */
+#include "backend_service.hpp"
+
+#include <iostream>
+
+namespace cornelspring {
+namespace {
+
+/** Settings of cornel-backend. */
+std::vector<setting_def> const backend_settings = {
+    {"name", setting_type::text, std::nullopt, 0, 0, "name of this back end, reported in answers"},
+    {"service", setting_type::text, std::nullopt, 0, 0, "service whose shards it holds"},
+    {"shard_count", setting_type::integer, std::nullopt, 1, 4096, "shards of the service"},
+    {"shards", setting_type::integer_list, std::nullopt, 0, 4095, "shard numbers held"},
+    {"index_versions", setting_type::integer_list, setting_value{std::vector<std::int64_t>{1}}, 1, 1e12,
+     "index versions held"},
+    {"slots", setting_type::integer, setting_value{std::int64_t{2}}, 1, 256, "requests run at once"},
+    {"max_connections", setting_type::integer, setting_value{std::int64_t{25}}, 1, 100000,
+     "connections accepted; more are closed at once"},
+    {"listen.host", setting_type::text, setting_value{std::string("127.0.0.1")}, 0, 0, "address to bind"},
+    {"listen.port", setting_type::integer, setting_value{std::int64_t{0}}, 0, 65535, "TCP port; 0 picks one"},
+    {"ready_file", setting_type::text, setting_value{std::string()}, 0, 0, "file that receives the bound port"},
+    {"corpus.directory", setting_type::text, setting_value{std::string("/usr/share/games/fortunes")}, 0, 0,
+     "folder of the fortunes package"},
+    {"corpus.max_documents", setting_type::integer, setting_value{std::int64_t{0}}, 0, 10000000,
+     "documents read (0: all)"},
+    {"drain_ms", setting_type::integer, setting_value{std::int64_t{5000}}, 0, 600000,
+     "longest wait for requests in flight at SIGTERM, in milliseconds"},
+};
+
+/** Runs the back end until SIGTERM. */
+int run(int argc, char const** argv)
+{
+    auto const options = parse_command_line("cornel-backend", "back-end stand-in", argc, argv, backend_settings);
+    if (options.exit_now) return 0;
+    init_logging("cornel-backend", options.log_level);
+    auto const config = load_settings_file(options, backend_settings);
+    install_stop_signals();
+    backend_config holdings;
+    holdings.name = config.text("name");
+    holdings.service = config.text("service");
+    holdings.shard_count = static_cast<std::int32_t>(config.integer("shard_count"));
+    for (auto shard : config.integer_list("shards")) {
+        if (shard >= holdings.shard_count) {
+            throw error(error_kind::bad_settings, "shard " + std::to_string(shard) + " is not below shard_count.",
+                        "List only shards from 0 to shard_count - 1.");
+        }
+        holdings.shards.push_back(static_cast<std::int32_t>(shard));
+    }
+    holdings.versions = config.integer_list("index_versions");
+    holdings.slots = static_cast<std::size_t>(config.integer("slots"));
+    auto const corpus =
+        load_corpus(config.text("corpus.directory"), static_cast<std::size_t>(config.integer("corpus.max_documents")));
+    backend_service service(holdings, corpus);
+    server_options listen;
+    listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
+    listen.max_connections = static_cast<std::size_t>(config.integer("max_connections"));
+    h2_server server(
+        listen, [&service](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); });
+    server.start();
+    auto logger = get_logger("backend");
+    LOG4CPLUS_INFO(logger, holdings.name << " listening on port " << server.port() << " with " << corpus.size()
+                                         << " documents");
+    if (!config.text("ready_file").empty()) write_file_atomic(config.text("ready_file"), std::to_string(server.port()));
+    wait_for_stop_signal();
+    service.begin_drain();
+    auto const left = server.drain(milliseconds(config.integer("drain_ms")));
+    LOG4CPLUS_INFO(logger, "stopped; requests cut off: " << left);
+    return 0;
+}
+
+} // namespace
+} // namespace cornelspring
+
+int main(int argc, char const** argv)
+{
+    try {
+        return cornelspring::run(argc, argv);
+    } catch (cornelspring::error const& failure) {
+        std::cerr << "cornel-backend: " << failure.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/base/settings.cpp
@@ -0,0 +1,196 @@
+/** @file settings.cpp Loading TOML settings and checking them against a table of declarations. */
+#include <cornelspring/base.hpp>
+
+#include <sstream>
+
+#include <toml++/toml.h>
+
+namespace cornelspring {
+namespace {
+
+/** Leaf values of a TOML document by dotted key. */
+using flat_table = std::map<std::string, toml::node const*>;
+
+/** Adds every leaf of @p table to @p out under @p prefix. */
+void flatten(toml::table const& table, std::string const& prefix, flat_table& out)
+{
+    for (auto const& [key, node] : table) {
+        std::string const name = prefix.empty() ? std::string(key.str()) : prefix + "." + std::string(key.str());
+        if (auto const* inner = node.as_table()) {
+            flatten(*inner, name, out);
+        } else {
+            out[name] = &node;
+        }
+    }
+}
+
+/** @return the TOML type name expected for @p type. */
+std::string type_name(setting_type type)
+{
+    switch (type) {
+    case setting_type::integer: return "an integer";
+    case setting_type::floating: return "a number";
+    case setting_type::text: return "a string";
+    case setting_type::boolean: return "true or false";
+    case setting_type::text_list: return "a list of strings";
+    case setting_type::integer_list: return "a list of integers";
+    }
+    return "a value";
+}
+
+/** @return @p node converted to @p def's type, or nothing when it has another type. */
+std::optional<setting_value> convert(toml::node const& node, setting_def const& def)
+{
+    switch (def.type) {
+    case setting_type::integer:
+        if (auto v = node.value<std::int64_t>(); v && node.is_integer()) return setting_value{*v};
+        return std::nullopt;
+    case setting_type::floating:
+        if (auto v = node.value<double>()) return setting_value{*v};
+        return std::nullopt;
+    case setting_type::text:
+        if (auto v = node.value<std::string>()) return setting_value{*v};
+        return std::nullopt;
+    case setting_type::boolean:
+        if (auto v = node.value<bool>()) return setting_value{*v};
+        return std::nullopt;
+    case setting_type::text_list: {
+        auto const* array = node.as_array();
+        if (array == nullptr) return std::nullopt;
+        std::vector<std::string> items;
+        for (auto const& item : *array) {
+            auto v = item.value<std::string>();
+            if (!v) return std::nullopt;
+            items.push_back(*v);
+        }
+        return setting_value{items};
+    }
+    case setting_type::integer_list: {
+        auto const* array = node.as_array();
+        if (array == nullptr) return std::nullopt;
+        std::vector<std::int64_t> items;
+        for (auto const& item : *array) {
+            if (!item.is_integer()) return std::nullopt;
+            items.push_back(*item.value<std::int64_t>());
+        }
+        return setting_value{items};
+    }
+    }
+    return std::nullopt;
+}
+
+/** Refuses a number outside the declared range. */
+void check_range(setting_def const& def, setting_value const& value, std::string const& source)
+{
+    if (def.min == def.max) return;
+    auto check = [&](double number) {
+        if (number < def.min || number > def.max) {
+            std::ostringstream text;
+            text << source << ": '" << def.key << "' is " << number << ", outside " << def.min << " to " << def.max
+                 << ".";
+            throw error(error_kind::bad_settings, text.str(),
+                        "Set '" + def.key + "' within the range (" + def.help + ").");
+        }
+    };
+    if (auto const* i = std::get_if<std::int64_t>(&value)) check(static_cast<double>(*i));
+    if (auto const* f = std::get_if<double>(&value)) check(*f);
+    if (auto const* list = std::get_if<std::vector<std::int64_t>>(&value)) {
+        for (auto item : *list)
+            check(static_cast<double>(item));
+    }
+}
+
+/** @return the document parsed from @p text. @throw error bad_settings on a syntax error. */
+toml::table parse_document(std::string const& text, std::string const& source)
+{
+    try {
+        return toml::parse(text, source);
+    } catch (toml::parse_error const& failure) {
+        std::ostringstream where;
+        where << source << ":" << failure.source().begin.line << ": " << failure.description();
+        throw error(error_kind::bad_settings, where.str(), "Fix the TOML syntax at that line.");
+    }
+}
+
+} // namespace
+
+settings load_settings(std::string const& toml_text, std::vector<std::string> const& overrides,
+                       std::vector<setting_def> const& defs, std::string const& source)
+{
+    std::vector<toml::table> documents;
+    documents.push_back(parse_document(toml_text, source));
+    for (auto const& line : overrides) {
+        documents.push_back(parse_document(line, "--set " + line));
+    }
+    flat_table leaves;
+    for (auto const& document : documents) {
+        flatten(document, "", leaves);
+    }
+    std::map<std::string, setting_def const*> by_key;
+    for (auto const& def : defs) {
+        by_key[def.key] = &def;
+    }
+    for (auto const& [key, node] : leaves) {
+        if (by_key.count(key) == 0) {
+            throw error(error_kind::bad_settings, source + ": unknown key '" + key + "'.",
+                        "Remove it or correct its spelling; --settings-help lists every key.");
+        }
+    }
+    settings result;
+    for (auto const& def : defs) {
+        auto const found = leaves.find(def.key);
+        if (found == leaves.end()) {
+            if (!def.fallback) {
+                throw error(error_kind::bad_settings, source + ": required key '" + def.key + "' is missing.",
+                            "Add '" + def.key + "' (" + def.help + ").");
+            }
+            result.set(def.key, *def.fallback);
+            continue;
+        }
+        auto value = convert(*found->second, def);
+        if (!value) {
+            throw error(error_kind::bad_settings, source + ": '" + def.key + "' must be " + type_name(def.type) + ".",
+                        "Write '" + def.key + "' as " + type_name(def.type) + " (" + def.help + ").");
+        }
+        check_range(def, *value, source);
+        result.set(def.key, std::move(*value));
+    }
+    return result;
+}
+
+std::string describe_settings(std::vector<setting_def> const& defs)
+{
+    std::ostringstream out;
+    for (auto const& def : defs) {
+        out << "  " << def.key << " (" << type_name(def.type);
+        if (def.min != def.max) out << ", " << def.min << " to " << def.max;
+        out << (def.fallback ? "" : ", required") << "): " << def.help << "\n";
+    }
+    return out.str();
+}
+
+setting_value const& settings::at(std::string const& key) const
+{
+    auto const found = m_values.find(key);
+    if (found == m_values.end()) {
+        throw error(error_kind::internal, "setting '" + key + "' was not declared.", "Report this bug.");
+    }
+    return found->second;
+}
+
+std::int64_t settings::integer(std::string const& key) const { return std::get<std::int64_t>(at(key)); }
+double settings::floating(std::string const& key) const { return std::get<double>(at(key)); }
+std::string const& settings::text(std::string const& key) const { return std::get<std::string>(at(key)); }
+bool settings::boolean(std::string const& key) const { return std::get<bool>(at(key)); }
+
+std::vector<std::string> const& settings::text_list(std::string const& key) const
+{
+    return std::get<std::vector<std::string>>(at(key));
+}
+
+std::vector<std::int64_t> const& settings::integer_list(std::string const& key) const
+{
+    return std::get<std::vector<std::int64_t>>(at(key));
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/coordination/config_watcher.cpp
@@ -0,0 +1,66 @@
+/** @file config_watcher.cpp Keeping the entry node's configuration equal to the store's. */
+#include <cornelspring/coordination.hpp>
+
+namespace cornelspring {
+namespace {
+
+/** Longest a single watch call waits for a change. */
+constexpr milliseconds watch_wait{3000};
+
+} // namespace
+
+config_watcher::config_watcher(store_client& store, config_view& view, milliseconds retry_delay)
+    : m_store(store), m_view(view), m_retry_delay(retry_delay)
+{
+}
+
+config_watcher::~config_watcher()
+{
+    m_stopping = true;
+    if (m_thread.joinable()) m_thread.join();
+}
+
+void config_watcher::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void config_watcher::run()
+{
+    auto logger = get_logger("entry.config");
+    bool need_full_read = true;
+    std::int64_t after = 0;
+    while (!m_stopping) {
+        try {
+            if (need_full_read) {
+                auto const [kvs, at] = m_store.range_prefix(key_prefix);
+                m_view.reset(kvs, at);
+                after = std::max(at, m_view.current()->revision);
+                need_full_read = false;
+                m_synced = true;
+                LOG4CPLUS_INFO(logger, "configuration read in full at revision " << after);
+                continue;
+            }
+            auto const batch = m_store.watch_prefix(key_prefix, after, watch_wait);
+            if (batch.compacted) {
+                need_full_read = true;
+                continue;
+            }
+            std::int64_t last = after;
+            for (auto const& event : batch.events)
+                last = std::max(last, event.kv.mod_revision);
+            if (m_view.apply(batch.events, last)) {
+                LOG4CPLUS_INFO(logger, "configuration now at revision " << last);
+            }
+            after = last;
+        } catch (error const& failure) {
+            LOG4CPLUS_WARN(logger, "store watch failed: " << failure.what());
+            need_full_read = true;
+            auto const until = clock::now() + m_retry_delay;
+            while (!m_stopping && clock::now() < until)
+                std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,62 @@
+/** @file membership.cpp Entry-node registration under a lease, renewed by heartbeat. */
+#include <cornelspring/coordination.hpp>
+
+namespace cornelspring {
+
+membership::membership(store_client& store, member self, std::int64_t ttl_s)
+    : m_store(store), m_self(std::move(self)), m_ttl_s(ttl_s)
+{
+}
+
+membership::~membership() { leave(); }
+
+void membership::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void membership::leave()
+{
+    if (m_stopping.exchange(true)) return;
+    if (m_thread.joinable()) m_thread.join();
+    if (m_lease == 0) return;
+    try {
+        m_store.revoke(m_lease);
+    } catch (error const& failure) {
+        LOG4CPLUS_WARN(get_logger("entry.membership"), "cannot revoke lease: " << failure.what());
+    }
+    m_lease = 0;
+}
+
+void membership::register_self()
+{
+    m_lease = m_store.grant_lease(m_ttl_s);
+    nlohmann::json const body{{"address", m_self.address}, {"zone", m_self.zone}};
+    m_store.put(std::string(member_prefix) + m_self.id, body.dump(), m_lease);
+    LOG4CPLUS_INFO(get_logger("entry.membership"), "registered as " << m_self.id << " under lease " << m_lease);
+}
+
+void membership::run()
+{
+    // Heartbeat three times per lease period, so that two lost heartbeats in a row do not lapse it.
+    auto const period = std::chrono::duration_cast<milliseconds>(std::chrono::seconds(m_ttl_s)) / 3;
+    auto next = clock::now();
+    while (!m_stopping) {
+        if (clock::now() >= next) {
+            try {
+                if (m_lease == 0) {
+                    register_self();
+                } else {
+                    m_store.keep_alive(m_lease);
+                }
+            } catch (error const& failure) {
+                LOG4CPLUS_WARN(get_logger("entry.membership"), "heartbeat failed: " << failure.what());
+                if (failure.kind() == error_kind::not_found) m_lease = 0;
+            }
+            next = clock::now() + period;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/coordination/store_client.cpp
@@ -0,0 +1,134 @@
+/** @file store_client.cpp Calls to the store's etcd v3 JSON gateway, with typed failures. */
+#include <cornelspring/coordination.hpp>
+
+namespace cornelspring {
+namespace {
+
+/** Extra time a watch call is given beyond its wait, so the store answers before the client gives up. */
+constexpr milliseconds watch_slack{2000};
+
+/** @return the error kind for an HTTP status from the store. */
+error_kind kind_for_status(int status)
+{
+    switch (status) {
+    case 400: return error_kind::bad_request;
+    case 404: return error_kind::not_found;
+    case 409: return error_kind::conflict;
+    case 503: return error_kind::unavailable;
+    default: return error_kind::internal;
+    }
+}
+
+} // namespace
+
+store_client::store_client(h2_client& client, endpoint store, milliseconds timeout)
+    : m_client(client), m_store(std::move(store)), m_timeout(timeout)
+{
+}
+
+nlohmann::json store_client::call(std::string const& path, nlohmann::json const& body, milliseconds timeout)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.push_back({"content-type", "application/json"});
+    request.body = body.dump();
+    auto result = m_client.call(m_store, std::move(request), timeout);
+    if (result.outcome == send_outcome::not_sent) {
+        throw error(error_kind::not_run,
+                    "the store at " + m_store.to_string() + " was not reached: " + result.detail + ".",
+                    "Check that the store runs; the call did not take effect and may be repeated.");
+    }
+    if (result.outcome == send_outcome::unknown) {
+        throw error(error_kind::outcome_unknown,
+                    "no reply from the store at " + m_store.to_string() + " (" + result.detail + ").",
+                    "Read the key back before repeating a write; it may have taken effect.");
+    }
+    auto answer = nlohmann::json::parse(result.response.body, nullptr, false);
+    if (result.response.status != 200) {
+        std::string const message =
+            answer.is_object() ? answer.value("message", result.response.body) : result.response.body;
+        std::string const remedy =
+            answer.is_object() ? answer.value("remedy", std::string("Try again later.")) : "Try again later.";
+        throw error(kind_for_status(result.response.status), "store: " + message, remedy);
+    }
+    if (answer.is_discarded()) {
+        throw error(error_kind::internal, "the store sent a body that is not JSON.", "Check the store's version.");
+    }
+    return answer;
+}
+
+std::pair<std::vector<key_value>, std::int64_t> store_client::range_prefix(std::string const& prefix)
+{
+    auto const answer =
+        call(store_paths::range, {{"key", base64_encode(prefix)}, {"range_end", base64_encode(prefix_end(prefix))}},
+             m_timeout);
+    return {answer.value("kvs", nlohmann::json::array()).get<std::vector<key_value>>(),
+            json_int64(answer.at("header").at("revision"))};
+}
+
+std::pair<std::optional<key_value>, std::int64_t> store_client::get(std::string const& key)
+{
+    auto const answer = call(store_paths::range, {{"key", base64_encode(key)}}, m_timeout);
+    auto const kvs = answer.value("kvs", nlohmann::json::array()).get<std::vector<key_value>>();
+    std::optional<key_value> found;
+    if (!kvs.empty()) found = kvs.front();
+    return {found, json_int64(answer.at("header").at("revision"))};
+}
+
+std::int64_t store_client::put(std::string const& key, std::string const& value, std::int64_t lease)
+{
+    nlohmann::json body{{"key", base64_encode(key)}, {"value", base64_encode(value)}};
+    if (lease != 0) body["lease"] = std::to_string(lease);
+    return json_int64(call(store_paths::put, body, m_timeout).at("header").at("revision"));
+}
+
+txn_result store_client::txn(txn_request const& request)
+{
+    auto const answer = call(store_paths::txn, nlohmann::json(request), m_timeout);
+    txn_result result;
+    result.succeeded = answer.value("succeeded", false);
+    result.revision = json_int64(answer.at("header").at("revision"));
+    for (auto const& response : answer.value("responses", nlohmann::json::array())) {
+        if (!response.contains("response_range")) continue;
+        auto kvs = response["response_range"].value("kvs", nlohmann::json::array()).get<std::vector<key_value>>();
+        result.range_kvs.insert(result.range_kvs.end(), kvs.begin(), kvs.end());
+    }
+    return result;
+}
+
+std::int64_t store_client::grant_lease(std::int64_t ttl_s)
+{
+    return json_int64(
+        call(store_paths::lease_grant, {{"TTL", std::to_string(ttl_s)}, {"ID", "0"}}, m_timeout).at("ID"));
+}
+
+void store_client::keep_alive(std::int64_t lease)
+{
+    call(store_paths::lease_keepalive, {{"ID", std::to_string(lease)}}, m_timeout);
+}
+
+void store_client::revoke(std::int64_t lease)
+{
+    call(store_paths::lease_revoke, {{"ID", std::to_string(lease)}}, m_timeout);
+}
+
+watch_batch store_client::watch_prefix(std::string const& prefix, std::int64_t after, milliseconds wait)
+{
+    nlohmann::json body{{"create_request",
+                         {{"key", base64_encode(prefix)},
+                          {"range_end", base64_encode(prefix_end(prefix))},
+                          {"start_revision", std::to_string(after + 1)}}},
+                        {"progress_timeout_ms", wait.count()}};
+    auto const answer = call(store_paths::watch, body, wait + watch_slack);
+    auto const& result = answer.at("result");
+    watch_batch batch;
+    batch.revision = json_int64(result.at("header").at("revision"));
+    batch.compacted = result.value("canceled", false);
+    for (auto const& item : result.value("events", nlohmann::json::array())) {
+        batch.events.push_back({item.value("type", std::string("PUT")) == "DELETE", item.at("kv").get<key_value>()});
+    }
+    return batch;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,184 @@
+/** @file main.cpp cornel-ctl: operators' command line for services, back ends and routes. */
+#include <cornelspring/coordination.hpp>
+
+#include <iostream>
+
+namespace cornelspring {
+namespace {
+
+/** Settings of cornel-ctl. */
+std::vector<setting_def> const ctl_settings = {
+    {"store.address", setting_type::text, setting_value{std::string("127.0.0.1:2379")}, 0, 0,
+     "host:port of the platform store"},
+    {"store.timeout_ms", setting_type::integer, setting_value{std::int64_t{3000}}, 10, 60000,
+     "timeout of one store call, in milliseconds"},
+    {"watch.max_events", setting_type::integer, setting_value{std::int64_t{0}}, 0, 1e9,
+     "watch stops after this many events (0: no limit)"},
+    {"watch.max_seconds", setting_type::integer, setting_value{std::int64_t{0}}, 0, 1e9,
+     "watch stops after this many seconds (0: no limit)"},
+};
+
+/** What the command line asks for. */
+constexpr char const* usage = "commands:\n"
+                              "  apply FILE            create or update the resources in FILE (.toml or .json)\n"
+                              "  get KIND NAME         print one resource with its revision\n"
+                              "  list KIND             print every resource of a kind\n"
+                              "  delete KIND NAME [REV] delete a resource (only at revision REV, when given)\n"
+                              "  watch [KIND]          print changes as JSON lines\n"
+                              "KIND is service, backend or route.\n";
+
+/** @return the JSON printed for a stored resource. */
+nlohmann::json describe(key_value const& kv)
+{
+    auto body = nlohmann::json::parse(kv.value, nullptr, false);
+    if (!body.is_object()) body = {{"raw", kv.value}};
+    body["revision"] = kv.mod_revision;
+    return body;
+}
+
+/** @return argument @p index or throws naming what is missing. */
+std::string const& argument(std::vector<std::string> const& args, std::size_t index, char const* what)
+{
+    if (args.size() <= index) {
+        throw error(error_kind::bad_request, std::string("missing ") + what + ".", std::string("Usage:\n") + usage);
+    }
+    return args[index];
+}
+
+/** Applies every resource of a file with compare-and-swap on its revision. */
+int apply(store_client& store, std::string const& path)
+{
+    auto const resources = parse_resource_file(read_file(path), path);
+    for (auto const& item : resources) {
+        std::string const key = resource_key(item.kind, item.name);
+        std::int64_t expected = item.revision;
+        if (expected == 0) expected = store.get(key).first.value_or(key_value{}).mod_revision;
+        if (expected < 0) expected = 0;
+        txn_request request;
+        request.compares.push_back({key, compare_target::mod_revision, expected, ""});
+        request.success.push_back({txn_op::kind::put, key, "", resource_to_json(item).dump(), 0});
+        auto const result = store.txn(request);
+        std::string const label = to_string(item.kind) + "/" + item.name;
+        if (!result.succeeded) {
+            throw error(error_kind::conflict,
+                        label + " was changed by someone else (expected revision " + std::to_string(expected) + ").",
+                        "Run 'cornel-ctl get " + to_string(item.kind) + " " + item.name +
+                            "', merge the change, and apply again.");
+        }
+        std::cout << label << " applied at revision " << result.revision << "\n";
+    }
+    return 0;
+}
+
+/** Prints one resource. */
+int get(store_client& store, resource_kind kind, std::string const& name)
+{
+    auto const [found, at] = store.get(resource_key(kind, name));
+    if (!found) {
+        throw error(error_kind::not_found, to_string(kind) + "/" + name + " does not exist.",
+                    "Run 'cornel-ctl list " + to_string(kind) + "' to see what exists.");
+    }
+    std::cout << describe(*found).dump(2) << "\n";
+    return 0;
+}
+
+/** Prints every resource of a kind. */
+int list(store_client& store, resource_kind kind)
+{
+    auto const [kvs, at] = store.range_prefix(std::string(resource_prefix) + to_string(kind) + "/");
+    for (auto const& kv : kvs)
+        std::cout << describe(kv).dump() << "\n";
+    return 0;
+}
+
+/** Deletes a resource, at a given revision when asked. */
+int remove(store_client& store, resource_kind kind, std::string const& name, std::int64_t at)
+{
+    std::string const key = resource_key(kind, name);
+    std::int64_t expected = at;
+    if (expected == 0) {
+        auto const found = store.get(key).first;
+        if (!found) {
+            throw error(error_kind::not_found, to_string(kind) + "/" + name + " does not exist.", "Check the name.");
+        }
+        expected = found->mod_revision;
+    }
+    txn_request request;
+    request.compares.push_back({key, compare_target::mod_revision, expected, ""});
+    request.success.push_back({txn_op::kind::remove, key, "", "", 0});
+    if (!store.txn(request).succeeded) {
+        throw error(error_kind::conflict,
+                    to_string(kind) + "/" + name + " is not at revision " + std::to_string(expected) + ".",
+                    "Get it again and delete at its current revision.");
+    }
+    std::cout << to_string(kind) << "/" << name << " deleted\n";
+    return 0;
+}
+
+/** Prints changes as JSON lines until a limit is reached. */
+int watch(store_client& store, std::string const& prefix, settings const& config)
+{
+    auto const max_events = config.integer("watch.max_events");
+    auto const max_seconds = config.integer("watch.max_seconds");
+    auto const until = clock::now() + std::chrono::seconds(max_seconds > 0 ? max_seconds : 1000000000);
+    std::int64_t after = store.range_prefix(prefix).second;
+    std::int64_t printed = 0;
+    while (clock::now() < until && (max_events == 0 || printed < max_events)) {
+        auto const batch = store.watch_prefix(prefix, after, milliseconds(1000));
+        for (auto const& event : batch.events) {
+            nlohmann::json line{{"type", event.is_delete ? "DELETE" : "PUT"},
+                                {"key", event.kv.key},
+                                {"revision", event.kv.mod_revision}};
+            if (!event.is_delete) line["resource"] = describe(event.kv);
+            std::cout << line.dump() << std::endl;
+            after = std::max(after, event.kv.mod_revision);
+            if (max_events != 0 && ++printed >= max_events) break;
+        }
+    }
+    return 0;
+}
+
+/** Runs one command. */
+int run(int argc, char const** argv)
+{
+    auto const options = parse_command_line("cornel-ctl", "operator command line", argc, argv, ctl_settings);
+    if (options.exit_now) {
+        return 0;
+    }
+    init_logging("cornel-ctl", options.log_level);
+    auto const config = load_settings_file(options, ctl_settings);
+    auto const& args = options.args;
+    std::string const& command = argument(args, 0, "command");
+    h2_client client;
+    store_client store(client, parse_endpoint(config.text("store.address")),
+                       milliseconds(config.integer("store.timeout_ms")));
+    if (command == "apply") return apply(store, argument(args, 1, "FILE"));
+    if (command == "get") return get(store, parse_kind(argument(args, 1, "KIND")), argument(args, 2, "NAME"));
+    if (command == "list") return list(store, parse_kind(argument(args, 1, "KIND")));
+    if (command == "delete") {
+        std::int64_t const at = args.size() > 3 ? std::stoll(args[3]) : 0;
+        return remove(store, parse_kind(argument(args, 1, "KIND")), argument(args, 2, "NAME"), at);
+    }
+    if (command == "watch") {
+        std::string prefix = resource_prefix;
+        if (args.size() > 1) prefix += to_string(parse_kind(args[1])) + "/";
+        return watch(store, prefix, config);
+    }
+    throw error(error_kind::bad_request, "unknown command '" + command + "'.", std::string("Usage:\n") + usage);
+}
+
+} // namespace
+} // namespace cornelspring
+
+int main(int argc, char const** argv)
+{
+    try {
+        return cornelspring::run(argc, argv);
+    } catch (cornelspring::error const& failure) {
+        std::cerr << "cornel-ctl: " << cornelspring::to_string(failure.kind()) << ": " << failure.what() << "\n";
+        return failure.kind() == cornelspring::error_kind::conflict ? 3 : 2;
+    } catch (std::exception const& failure) {
+        std::cerr << "cornel-ctl: " << failure.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/entry/entry_service.hpp
@@ -0,0 +1,59 @@
+/** @file entry_service.hpp The entry node's caller API: queries, entry addresses, health and metrics. */
+#pragma once
+
+#include <cornelspring/coordination.hpp>
+
+#include <random>
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace cornelspring {
+
+/** Identity and limits of an entry node. */
+struct entry_config {
+    std::string id;                  ///< Entry node id.
+    std::string zone;                ///< Failure domain.
+    std::int64_t entries_ttl_s = 30; ///< How long callers keep the address list.
+};
+
+/**
+ * Handles caller requests on the HTTP server's thread and hands queries to scatter-gather, whose
+ * answers come back through the reply function.
+ */
+class entry_service {
+public:
+    /**
+     * @param config identity. @param view configuration. @param gather fan-out.
+     * @param registry metrics registry served at /metrics.
+     */
+    entry_service(entry_config config, config_view& view, scatter_gather& gather,
+                  std::shared_ptr<prometheus::Registry> registry);
+    /** Handles one request. @param request request. @param reply answer sink. */
+    void handle(http_request const& request, reply_fn reply);
+    /** From now on, refuses new queries and tells callers where else to go. */
+    void begin_drain() { m_draining = true; }
+
+private:
+    /** Handles POST /v1/query. */
+    void query(http_request const& request, reply_fn reply);
+    /** @return the answer to GET /v1/entries. */
+    http_response entries() const;
+    /** @return the addresses of other live entry nodes, same zone first. */
+    std::vector<std::string> other_entries(bool include_self) const;
+    /** @return a new request id. */
+    std::string new_request_id();
+
+    entry_config m_config;                              ///< Identity.
+    config_view& m_view;                                ///< Configuration.
+    scatter_gather& m_gather;                           ///< Fan-out.
+    std::shared_ptr<prometheus::Registry> m_registry;   ///< Metrics.
+    prometheus::Family<prometheus::Counter>& m_queries; ///< Queries by outcome.
+    prometheus::Histogram& m_latency;                   ///< Query latency in seconds.
+    prometheus::Counter& m_shard_requests;              ///< Shard requests sent.
+    std::atomic<bool> m_draining{false};                ///< Set at SIGTERM.
+    std::mt19937_64 m_random{std::random_device{}()};   ///< Request ids.
+};
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/state/resources.cpp
@@ -0,0 +1,231 @@
+/** @file resources.cpp Reading, checking and encoding declared resources. */
+#include <cornelspring/state.hpp>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+#include <toml++/toml.h>
+
+namespace cornelspring {
+namespace {
+
+/** Longest resource name. */
+constexpr std::size_t max_name_length = 64;
+/** Most shards a service may have. */
+constexpr std::int32_t max_shards = 4096;
+
+/** Throws a bad_request error about @p where. */
+[[noreturn]] void refuse(std::string const& where, std::string const& rule)
+{
+    throw error(error_kind::bad_request, where + " " + rule + ".", "Correct the resource and apply it again.");
+}
+
+/** Refuses fields of @p spec that are not in @p allowed. */
+void only_fields(nlohmann::json const& spec, std::set<std::string> const& allowed, std::string const& where)
+{
+    if (!spec.is_object()) refuse(where, "spec must be an object");
+    for (auto const& [key, value] : spec.items()) {
+        if (allowed.count(key) == 0) refuse(where + " field '" + key + "'", "is not known");
+    }
+}
+
+/** @return the field @p key of @p spec as T, or @p fallback when absent. */
+template <class T> T field(nlohmann::json const& spec, std::string const& key, T fallback, std::string const& where)
+{
+    if (!spec.contains(key)) return fallback;
+    try {
+        return spec[key].get<T>();
+    } catch (nlohmann::json::exception const&) {
+        refuse(where + " field '" + key + "'", "has the wrong type");
+    }
+}
+
+/** @return the field @p key, which must be present. */
+template <class T> T required(nlohmann::json const& spec, std::string const& key, std::string const& where)
+{
+    if (!spec.contains(key)) refuse(where + " field '" + key + "'", "is required");
+    return field<T>(spec, key, T{}, where);
+}
+
+/** Refuses a bad name. */
+void check_name(std::string const& name, std::string const& where)
+{
+    bool const valid =
+        !name.empty() && name.size() <= max_name_length && std::all_of(name.begin(), name.end(), [](char c) {
+            return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+        });
+    if (!valid) refuse(where, "name must be 1 to 64 letters, digits, '-', '_' or '.'");
+}
+
+service_spec service_from(nlohmann::json const& spec, std::string const& where)
+{
+    only_fields(spec, {"customer", "shards", "index_version"}, where);
+    service_spec out;
+    out.customer = field<std::string>(spec, "customer", "", where);
+    out.shards = required<std::int32_t>(spec, "shards", where);
+    out.index_version = field<std::int64_t>(spec, "index_version", 1, where);
+    if (out.shards < 1 || out.shards > max_shards) refuse(where + " field 'shards'", "must be from 1 to 4096");
+    if (out.index_version < 1) refuse(where + " field 'index_version'", "must be at least 1");
+    return out;
+}
+
+backend_spec backend_from(nlohmann::json const& spec, std::string const& where)
+{
+    only_fields(spec, {"address", "service", "zone", "shards", "index_versions", "slots", "connections", "draining"},
+                where);
+    backend_spec out;
+    out.address = required<std::string>(spec, "address", where);
+    out.service = required<std::string>(spec, "service", where);
+    out.zone = field<std::string>(spec, "zone", "", where);
+    out.shards = required<std::vector<std::int32_t>>(spec, "shards", where);
+    out.index_versions = field<std::vector<std::int64_t>>(spec, "index_versions", {1}, where);
+    out.slots = field<std::int32_t>(spec, "slots", 2, where);
+    out.connections = field<std::int32_t>(spec, "connections", 25, where);
+    out.draining = field<bool>(spec, "draining", false, where);
+    try {
+        parse_endpoint(out.address);
+    } catch (error const&) {
+        refuse(where + " field 'address'", "must be host:port");
+    }
+    if (out.shards.empty()) refuse(where + " field 'shards'", "must list at least one shard");
+    for (auto shard : out.shards) {
+        if (shard < 0 || shard >= max_shards) refuse(where + " field 'shards'", "must hold numbers from 0 to 4095");
+    }
+    if (out.slots < 1) refuse(where + " field 'slots'", "must be at least 1");
+    if (out.connections < 1) refuse(where + " field 'connections'", "must be at least 1");
+    return out;
+}
+
+route_spec route_from(nlohmann::json const& spec, std::string const& where)
+{
+    only_fields(spec, {"customer", "service"}, where);
+    return {required<std::string>(spec, "customer", where), required<std::string>(spec, "service", where)};
+}
+
+/** @return the JSON of a spec. */
+nlohmann::json spec_json(resource const& value)
+{
+    if (auto const* s = std::get_if<service_spec>(&value.spec)) {
+        return {{"customer", s->customer}, {"shards", s->shards}, {"index_version", s->index_version}};
+    }
+    if (auto const* b = std::get_if<backend_spec>(&value.spec)) {
+        return {{"address", b->address},
+                {"service", b->service},
+                {"zone", b->zone},
+                {"shards", b->shards},
+                {"index_versions", b->index_versions},
+                {"slots", b->slots},
+                {"connections", b->connections},
+                {"draining", b->draining}};
+    }
+    auto const& r = std::get<route_spec>(value.spec);
+    return {{"customer", r.customer}, {"service", r.service}};
+}
+
+} // namespace
+
+std::string to_string(resource_kind kind)
+{
+    switch (kind) {
+    case resource_kind::service: return "service";
+    case resource_kind::backend: return "backend";
+    case resource_kind::route: return "route";
+    }
+    return "service";
+}
+
+resource_kind parse_kind(std::string const& name)
+{
+    if (name == "service" || name == "services") return resource_kind::service;
+    if (name == "backend" || name == "backends") return resource_kind::backend;
+    if (name == "route" || name == "routes") return resource_kind::route;
+    throw error(error_kind::bad_request, "resource kind '" + name + "' is unknown.", "Use service, backend or route.");
+}
+
+std::string resource_key(resource_kind kind, std::string const& name)
+{
+    return std::string(resource_prefix) + to_string(kind) + "/" + name;
+}
+
+nlohmann::json resource_to_json(resource const& value)
+{
+    return {{"kind", to_string(value.kind)}, {"name", value.name}, {"spec", spec_json(value)}};
+}
+
+resource resource_from_json(nlohmann::json const& in)
+{
+    if (!in.is_object()) refuse("a resource", "must be an object");
+    resource out;
+    out.kind = parse_kind(field<std::string>(in, "kind", "", "resource"));
+    out.name = field<std::string>(in, "name", "", "resource");
+    std::string const where = to_string(out.kind) + " '" + out.name + "'";
+    check_name(out.name, where);
+    out.revision = field<std::int64_t>(in, "revision", 0, where);
+    auto const spec = in.value("spec", nlohmann::json::object());
+    switch (out.kind) {
+    case resource_kind::service: out.spec = service_from(spec, where); break;
+    case resource_kind::backend: out.spec = backend_from(spec, where); break;
+    case resource_kind::route: out.spec = route_from(spec, where); break;
+    }
+    return out;
+}
+
+std::vector<resource> parse_resource_file(std::string const& text, std::string const& source)
+{
+    nlohmann::json list = nlohmann::json::array();
+    bool const is_json = source.size() >= 5 && source.substr(source.size() - 5) == ".json";
+    if (is_json) {
+        auto const document = nlohmann::json::parse(text, nullptr, false);
+        if (document.is_discarded()) refuse(source, "is not valid JSON");
+        list = document.is_array() ? document : document.value("resources", nlohmann::json::array());
+    } else {
+        toml::table table;
+        try {
+            table = toml::parse(text, source);
+        } catch (toml::parse_error const& failure) {
+            std::ostringstream where;
+            where << source << ":" << failure.source().begin.line << ": " << failure.description();
+            throw error(error_kind::bad_request, where.str(), "Fix the TOML syntax at that line.");
+        }
+        std::ostringstream as_json;
+        as_json << toml::json_formatter(table);
+        auto const document = nlohmann::json::parse(as_json.str());
+        for (auto const& [kind, items] : document.items())
+            parse_kind(kind);
+        for (std::string const kind : {"service", "backend", "route"}) {
+            if (!document.contains(kind)) continue;
+            auto const& items = document[kind];
+            if (!items.is_array())
+                refuse(source + " key '" + kind + "'", "must be an array of tables ([[" + kind + "]])");
+            for (auto item : items) {
+                nlohmann::json entry{{"kind", kind}, {"name", item.value("name", std::string{})}};
+                if (item.contains("revision")) entry["revision"] = item["revision"];
+                item.erase("name");
+                item.erase("revision");
+                entry["spec"] = item;
+                list.push_back(entry);
+            }
+        }
+    }
+    std::vector<resource> resources;
+    for (auto const& item : list)
+        resources.push_back(resource_from_json(item));
+    return resources;
+}
+
+std::vector<replica> config_snapshot::replicas(std::string const& service, std::int32_t shard,
+                                               std::int64_t version) const
+{
+    std::vector<replica> found;
+    for (auto const& [name, spec] : backends) {
+        bool const holds =
+            spec.service == service && !spec.draining &&
+            std::find(spec.shards.begin(), spec.shards.end(), shard) != spec.shards.end() &&
+            std::find(spec.index_versions.begin(), spec.index_versions.end(), version) != spec.index_versions.end();
+        if (holds) found.push_back({name, parse_endpoint(spec.address), spec.zone});
+    }
+    return found;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/store/main.cpp
@@ -0,0 +1,58 @@
+/** @file main.cpp cornel-store: stand-in for the platform's key-value service (etcd v3 JSON gateway shape). */
+#include "store_service.hpp"
+
+#include <cornelspring/transport.hpp>
+
+#include <iostream>
+
+namespace cornelspring {
+namespace {
+
+/** Settings of cornel-store. */
+std::vector<setting_def> const store_settings = {
+    {"listen.host", setting_type::text, setting_value{std::string("127.0.0.1")}, 0, 0, "address to bind"},
+    {"listen.port", setting_type::integer, setting_value{std::int64_t{2379}}, 0, 65535, "TCP port; 0 picks one"},
+    {"ready_file", setting_type::text, setting_value{std::string()}, 0, 0, "file that receives the bound port"},
+    {"history_limit", setting_type::integer, setting_value{std::int64_t{100000}}, 100, 10000000,
+     "events kept for watches"},
+    {"max_body_bytes", setting_type::integer, setting_value{std::int64_t{1 << 20}}, 1024, 16 << 20,
+     "largest request body in bytes (the platform holds values up to 1 MB)"},
+};
+
+/** Runs the store until SIGTERM. */
+int run(int argc, char const** argv)
+{
+    auto const options = parse_command_line("cornel-store", "key-value store stand-in", argc, argv, store_settings);
+    if (options.exit_now) return 0;
+    init_logging("cornel-store", options.log_level);
+    auto const config = load_settings_file(options, store_settings);
+    install_stop_signals();
+    store_service service(static_cast<std::size_t>(config.integer("history_limit")));
+    server_options listen;
+    listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
+    listen.max_body_bytes = static_cast<std::size_t>(config.integer("max_body_bytes"));
+    h2_server server(
+        listen, [&service](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); });
+    server.set_tick([&service](time_point now) { service.tick(now); });
+    server.start();
+    auto logger = get_logger("store");
+    LOG4CPLUS_INFO(logger, "listening on port " << server.port());
+    if (!config.text("ready_file").empty()) write_file_atomic(config.text("ready_file"), std::to_string(server.port()));
+    wait_for_stop_signal();
+    LOG4CPLUS_INFO(logger, "stopping");
+    server.drain(milliseconds(2000));
+    return 0;
+}
+
+} // namespace
+} // namespace cornelspring
+
+int main(int argc, char const** argv)
+{
+    try {
+        return cornelspring::run(argc, argv);
+    } catch (cornelspring::error const& failure) {
+        std::cerr << "cornel-store: " << failure.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/store/store_service.cpp
@@ -0,0 +1,192 @@
+/** @file store_service.cpp Request routing of the store stand-in. */
+#include "store_service.hpp"
+
+namespace cornelspring {
+namespace {
+
+/** Longest a watch waits before answering with no events. */
+constexpr milliseconds default_watch_wait{5000};
+/** How long a lost reply is held: longer than any client waits, so the client sees no answer. */
+constexpr milliseconds lost_reply_hold{120000};
+/** Seconds a client should wait during an outage before calling again. */
+constexpr int outage_retry_after_s = 1;
+
+/** @return the key of a request body, decoded. */
+std::string key_of(nlohmann::json const& body) { return base64_decode(body.at("key").get<std::string>()); }
+
+/** @return the range end of a request body, decoded, or "". */
+std::string range_end_of(nlohmann::json const& body)
+{
+    return body.contains("range_end") ? base64_decode(body["range_end"].get<std::string>()) : std::string{};
+}
+
+} // namespace
+
+store_service::store_service(std::size_t history_limit) : m_store(history_limit) {}
+
+nlohmann::json store_service::header() const { return {{"revision", std::to_string(m_store.revision())}}; }
+
+nlohmann::json store_service::dispatch(std::string const& path, nlohmann::json const& body, time_point now,
+                                       bool& is_write)
+{
+    is_write = true;
+    if (path == store_paths::put) {
+        m_store.put(key_of(body), base64_decode(body.value("value", std::string{})),
+                    body.contains("lease") ? json_int64(body["lease"]) : 0);
+        return {{"header", header()}};
+    }
+    if (path == store_paths::delete_range) {
+        auto const deleted = m_store.remove(key_of(body), range_end_of(body));
+        return {{"header", header()}, {"deleted", std::to_string(deleted)}};
+    }
+    if (path == store_paths::txn) {
+        auto const result = m_store.txn(body.get<txn_request>());
+        nlohmann::json responses = nlohmann::json::array();
+        if (!result.range_kvs.empty()) responses.push_back({{"response_range", {{"kvs", result.range_kvs}}}});
+        return {{"header", header()}, {"succeeded", result.succeeded}, {"responses", responses}};
+    }
+    if (path == store_paths::lease_grant) {
+        auto const ttl = json_int64(body.at("TTL"));
+        auto const id = m_store.grant(ttl, now, body.contains("ID") ? json_int64(body["ID"]) : 0);
+        return {{"header", header()}, {"ID", std::to_string(id)}, {"TTL", std::to_string(ttl)}};
+    }
+    if (path == store_paths::lease_keepalive) {
+        auto const id = json_int64(body.at("ID"));
+        auto const ttl = m_store.keepalive(id, now);
+        return {{"result", {{"header", header()}, {"ID", std::to_string(id)}, {"TTL", std::to_string(ttl)}}}};
+    }
+    if (path == store_paths::lease_revoke) {
+        m_store.revoke(json_int64(body.at("ID")));
+        return {{"header", header()}};
+    }
+    is_write = false;
+    if (path == store_paths::range) {
+        auto const kvs = m_store.range(key_of(body), range_end_of(body));
+        return {{"header", header()}, {"kvs", kvs}, {"count", std::to_string(kvs.size())}};
+    }
+    throw error(error_kind::not_found, "no store API at '" + path + "'.", "Use a path of etcd's v3 JSON gateway.");
+}
+
+void store_service::handle(http_request const& request, reply_fn reply)
+{
+    auto const now = clock::now();
+    if (request.path == paths::fault) {
+        reply(set_faults(nlohmann::json::parse(request.body, nullptr, false), now));
+        return;
+    }
+    if (now < m_faults.outage_until) {
+        reply(error_response(error(error_kind::unavailable, "the store is in an outage.", "Call again later."),
+                             outage_retry_after_s));
+        return;
+    }
+    auto body = nlohmann::json::parse(request.body.empty() ? "{}" : request.body, nullptr, false);
+    if (body.is_discarded() || !body.is_object()) {
+        reply(error_response(error(error_kind::bad_request, "request body is not a JSON object.",
+                                   "Send the JSON body of the etcd v3 gateway call.")));
+        return;
+    }
+    if (request.path == store_paths::watch) {
+        auto const& create = body.value("create_request", nlohmann::json::object());
+        waiting_watch watch;
+        try {
+            watch.key = key_of(create);
+            watch.range_end = range_end_of(create);
+        } catch (std::exception const&) {
+            reply(error_response(error(error_kind::bad_request, "watch has no valid create_request.key.",
+                                       "Send create_request with a base64 key.")));
+            return;
+        }
+        auto const start = create.contains("start_revision") ? json_int64(create["start_revision"]) : 0;
+        watch.after = start > 0 ? start - 1 : m_store.revision();
+        auto const wait = milliseconds(body.value("progress_timeout_ms", default_watch_wait.count()));
+        watch.deadline = now + std::min(wait, default_watch_wait);
+        watch.reply = std::move(reply);
+        m_watches.push_back(std::move(watch));
+        answer_watches(now);
+        return;
+    }
+    bool is_write = false;
+    try {
+        auto answer = dispatch(request.path, body, now, is_write);
+        send(std::move(reply), json_response(200, answer.dump()), is_write, now);
+        if (is_write) answer_watches(now);
+    } catch (error const& failure) {
+        reply(error_response(failure));
+    } catch (nlohmann::json::exception const& failure) {
+        reply(error_response(error(error_kind::bad_request, std::string("malformed store call: ") + failure.what(),
+                                   "Send the fields of the etcd v3 gateway call.")));
+    } catch (std::exception const& failure) {
+        reply(error_response(error(error_kind::bad_request, failure.what(), "Check the numbers in the call.")));
+    }
+}
+
+void store_service::send(reply_fn reply, http_response response, bool is_write, time_point now)
+{
+    if (is_write && m_faults.lose_replies > 0) {
+        --m_faults.lose_replies;
+        m_held.push_back({now + lost_reply_hold, std::move(reply), std::move(response)});
+        return;
+    }
+    if (m_faults.delay.count() > 0) {
+        m_held.push_back({now + m_faults.delay, std::move(reply), std::move(response)});
+        return;
+    }
+    reply(std::move(response));
+}
+
+void store_service::answer_watches(time_point now)
+{
+    for (auto it = m_watches.begin(); it != m_watches.end();) {
+        nlohmann::json result{{"header", header()}};
+        bool ready = now >= it->deadline;
+        try {
+            auto const events = m_store.events_after(it->after, it->key, it->range_end);
+            if (!events.empty()) {
+                nlohmann::json list = nlohmann::json::array();
+                for (auto const& event : events) {
+                    list.push_back({{"type", event.is_delete ? "DELETE" : "PUT"}, {"kv", event.kv}});
+                }
+                result["events"] = list;
+                ready = true;
+            }
+        } catch (error const&) {
+            result["compact_revision"] = std::to_string(m_store.compacted());
+            result["canceled"] = true;
+            ready = true;
+        }
+        if (!ready) {
+            ++it;
+            continue;
+        }
+        send(it->reply, json_response(200, nlohmann::json{{"result", result}}.dump()), false, now);
+        it = m_watches.erase(it);
+    }
+}
+
+void store_service::tick(time_point now)
+{
+    if (!m_store.expire(now).empty()) answer_watches(now);
+    answer_watches(now);
+    for (auto it = m_held.begin(); it != m_held.end();) {
+        if (it->due <= now) {
+            it->reply(std::move(it->response));
+            it = m_held.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+http_response store_service::set_faults(nlohmann::json const& body, time_point now)
+{
+    if (body.is_discarded() || !body.is_object()) {
+        return error_response(error(error_kind::bad_request, "fault body is not a JSON object.",
+                                    "Send {\"outage_ms\":N,\"delay_ms\":N,\"lose_replies\":N}."));
+    }
+    m_faults.outage_until = now + milliseconds(body.value("outage_ms", std::int64_t{0}));
+    m_faults.delay = milliseconds(body.value("delay_ms", std::int64_t{0}));
+    m_faults.lose_replies = body.value("lose_replies", std::int64_t{0});
+    return json_response(200, R"({"ok":true})");
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/transport/socket.cpp
@@ -0,0 +1,189 @@
+/** @file socket.cpp Plain socket helpers, the task queue, response helpers and stop signals. */
+#include "socket.hpp"
+
+#include <cornelspring/transport.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+namespace cornelspring {
+namespace detail {
+namespace {
+
+/** @return the resolved address of @p where. */
+addrinfo* resolve(endpoint const& where, bool passive)
+{
+    addrinfo hints{};
+    hints.ai_family = AF_UNSPEC;
+    hints.ai_socktype = SOCK_STREAM;
+    hints.ai_flags = passive ? AI_PASSIVE : 0;
+    addrinfo* found = nullptr;
+    std::string const port = std::to_string(where.port);
+    if (getaddrinfo(where.host.c_str(), port.c_str(), &hints, &found) != 0) {
+        return nullptr;
+    }
+    return found;
+}
+
+} // namespace
+
+void tune_socket(int fd)
+{
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+int listen_tcp(endpoint const& where)
+{
+    addrinfo* found = resolve(where, true);
+    if (found == nullptr) {
+        throw error(error_kind::unavailable, "cannot resolve listen address " + where.to_string() + ".",
+                    "Use a numeric address such as 127.0.0.1.");
+    }
+    int fd = socket(found->ai_family, SOCK_STREAM, 0);
+    int one = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    bool const bound = bind(fd, found->ai_addr, found->ai_addrlen) == 0 && listen(fd, 512) == 0;
+    freeaddrinfo(found);
+    if (!bound) {
+        std::string const reason = std::strerror(errno);
+        close(fd);
+        throw error(error_kind::unavailable, "cannot listen on " + where.to_string() + ": " + reason + ".",
+                    "Choose a free port, or port 0 to pick one.");
+    }
+    tune_socket(fd);
+    return fd;
+}
+
+std::uint16_t local_port(int fd)
+{
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    if (address.ss_family == AF_INET6) {
+        return ntohs(reinterpret_cast<sockaddr_in6*>(&address)->sin6_port);
+    }
+    return ntohs(reinterpret_cast<sockaddr_in*>(&address)->sin_port);
+}
+
+int connect_tcp(endpoint const& peer)
+{
+    addrinfo* found = resolve(peer, false);
+    if (found == nullptr) return -1;
+    int fd = socket(found->ai_family, SOCK_STREAM, 0);
+    tune_socket(fd);
+    int const rc = connect(fd, found->ai_addr, found->ai_addrlen);
+    freeaddrinfo(found);
+    if (rc != 0 && errno != EINPROGRESS) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+task_queue::task_queue()
+{
+    if (pipe(m_pipe) != 0) {
+        throw error(error_kind::internal, "cannot create a pipe.", "Raise the limit of open files.");
+    }
+    fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+    fcntl(m_pipe[1], F_SETFL, O_NONBLOCK);
+}
+
+task_queue::~task_queue()
+{
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+}
+
+void task_queue::post(std::function<void()> task)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+    }
+    char const byte = 1;
+    [[maybe_unused]] auto written = write(m_pipe[1], &byte, 1);
+}
+
+void task_queue::run_all()
+{
+    char sink[256];
+    while (read(m_pipe[0], sink, sizeof sink) > 0) {
+    }
+    std::vector<std::function<void()>> tasks;
+    {
+        std::lock_guard lock(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    for (auto& task : tasks) {
+        task();
+    }
+}
+
+} // namespace detail
+
+namespace {
+/** Set by the stop signals. */
+volatile std::sig_atomic_t g_stop_requested = 0;
+/** Records a stop signal. */
+void on_stop_signal(int) { g_stop_requested = 1; }
+/** @return the value of header @p name in @p headers. */
+std::string find_header(std::vector<http_header> const& headers, std::string const& name)
+{
+    for (auto const& h : headers) {
+        if (h.name == name) return h.value;
+    }
+    return {};
+}
+} // namespace
+
+std::string http_request::header(std::string const& name) const { return find_header(headers, name); }
+std::string http_response::header(std::string const& name) const { return find_header(headers, name); }
+
+http_response json_response(int status, std::string json_text)
+{
+    http_response response;
+    response.status = status;
+    response.headers.push_back({"content-type", "application/json"});
+    response.body = std::move(json_text);
+    return response;
+}
+
+http_response error_response(error const& failure, int retry_after_s)
+{
+    nlohmann::json body{
+        {"error", to_string(failure.kind())}, {"message", failure.message()}, {"remedy", failure.remedy()}};
+    if (retry_after_s > 0) body["retry_after_s"] = retry_after_s;
+    auto response = json_response(http_status(failure.kind()), body.dump());
+    if (retry_after_s > 0) response.headers.push_back({"retry-after", std::to_string(retry_after_s)});
+    return response;
+}
+
+void install_stop_signals()
+{
+    struct sigaction action {};
+    action.sa_handler = on_stop_signal;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void wait_for_stop_signal()
+{
+    while (g_stop_requested == 0) {
+        usleep(20 * 1000);
+    }
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,3 @@
+/** @file main.cpp The doctest runner shared by the test programs. */
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/tests/process_fixture.cpp
@@ -0,0 +1,1 @@
+/** @file process_fixture.cpp Placeholder replaced below. */
--- /dev/null
+++ b/tests/test_resources.cpp
@@ -0,0 +1,100 @@
+/** @file test_resources.cpp The resource model and the monotonic configuration view. */
+#include <cornelspring/state.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+
+namespace {
+
+char const* const example = R"(
+[[service]]
+name = "catalogue-01"
+customer = "Leeuwin"
+shards = 2
+index_version = 3
+
+[[backend]]
+name = "cat01-a"
+address = "127.0.0.1:9000"
+service = "catalogue-01"
+zone = "Perth"
+shards = [0, 1]
+index_versions = [3]
+
+[[route]]
+name = "leeuwin-catalogue"
+customer = "Leeuwin"
+service = "catalogue-01"
+)";
+
+/** @return a watch event writing @p value at @p key and revision @p rev. */
+watch_event put_event(std::string const& key, resource const& value, std::int64_t rev)
+{
+    key_value kv;
+    kv.key = key;
+    kv.value = resource_to_json(value).dump();
+    kv.mod_revision = rev;
+    return {false, kv};
+}
+
+} // namespace
+
+TEST_CASE("a TOML resource file reads into typed resources")
+{
+    auto const resources = parse_resource_file(example, "example.toml");
+    REQUIRE(resources.size() == 3);
+    auto const& service = std::get<service_spec>(resources[0].spec);
+    CHECK(service.shards == 2);
+    CHECK(service.index_version == 3);
+    auto const& backend = std::get<backend_spec>(resources[1].spec);
+    CHECK(backend.zone == "Perth");
+    CHECK(resource_from_json(resource_to_json(resources[1])).name == "cat01-a");
+}
+
+TEST_CASE("bad resources are refused")
+{
+    char const* const cases[] = {
+        R"({"kind":"service","name":"a","spec":{}})",                          // shards missing
+        R"({"kind":"service","name":"a","spec":{"shards":0}})",                // shards out of range
+        R"({"kind":"service","name":"a b","spec":{"shards":1}})",              // bad name
+        R"({"kind":"dragon","name":"a","spec":{}})",                           // unknown kind
+        R"({"kind":"service","name":"a","spec":{"shards":1,"colour":"red"}})", // unknown field
+        R"({"kind":"backend","name":"a","spec":{"address":"nowhere","service":"s","shards":[0]}})", // bad address
+        R"({"kind":"route","name":"a","spec":{"customer":"x"}})",                                   // service missing
+    };
+    for (auto const* text : cases) {
+        CAPTURE(text);
+        CHECK_THROWS_AS(resource_from_json(nlohmann::json::parse(text)), error);
+    }
+}
+
+TEST_CASE("the view never goes back to an older revision")
+{
+    auto const resources = parse_resource_file(example, "example.toml");
+    config_view view;
+    auto service_v5 = resources[0];
+    std::get<service_spec>(service_v5.spec).index_version = 5;
+    CHECK(view.apply({put_event(resource_key(resource_kind::service, "catalogue-01"), service_v5, 10)}, 10));
+    CHECK(view.current()->services.at("catalogue-01").index_version == 5);
+    // A late event from an older revision is ignored.
+    CHECK_FALSE(view.apply({put_event(resource_key(resource_kind::service, "catalogue-01"), resources[0], 7)}, 7));
+    CHECK(view.current()->services.at("catalogue-01").index_version == 5);
+    // So is a full read from before what was applied, as after a failover to a lagging store reply.
+    CHECK_FALSE(view.reset({}, 8));
+    CHECK(view.current()->services.count("catalogue-01") == 1);
+    CHECK(view.current()->revision == 10);
+}
+
+TEST_CASE("replicas are the back ends holding the shard at the version and not draining")
+{
+    auto resources = parse_resource_file(example, "example.toml");
+    config_snapshot snapshot;
+    snapshot.backends["cat01-a"] = std::get<backend_spec>(resources[1].spec);
+    auto drained = std::get<backend_spec>(resources[1].spec);
+    drained.draining = true;
+    snapshot.backends["cat01-b"] = drained;
+    CHECK(snapshot.replicas("catalogue-01", 1, 3).size() == 1);
+    CHECK(snapshot.replicas("catalogue-01", 1, 4).empty());
+    CHECK(snapshot.replicas("catalogue-01", 2, 3).empty());
+}
--- /dev/null
+++ b/tests/test_settings.cpp
@@ -0,0 +1,65 @@
+/** @file test_settings.cpp Checking settings: unknown keys, types, ranges, required keys, overrides. */
+#include <cornelspring/base.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+
+namespace {
+
+std::vector<setting_def> const table = {
+    {"listen.port", setting_type::integer, setting_value{std::int64_t{80}}, 0, 65535, "TCP port"},
+    {"name", setting_type::text, std::nullopt, 0, 0, "name"},
+    {"shards", setting_type::integer_list, setting_value{std::vector<std::int64_t>{}}, 0, 10, "shards"},
+};
+
+/** @return the message of the bad_settings error that loading @p text raises. */
+std::string refusal(std::string const& text, std::vector<std::string> const& overrides = {})
+{
+    try {
+        load_settings(text, overrides, table, "test.toml");
+    } catch (error const& failure) {
+        CHECK(failure.kind() == error_kind::bad_settings);
+        CHECK_FALSE(failure.remedy().empty());
+        return failure.message();
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_CASE("settings take defaults and values of the file")
+{
+    auto const loaded = load_settings("name = \"a\"\n[listen]\nport = 9000\n", {}, table, "test.toml");
+    CHECK(loaded.integer("listen.port") == 9000);
+    CHECK(loaded.text("name") == "a");
+    CHECK(loaded.integer_list("shards").empty());
+}
+
+TEST_CASE("overrides from --set win over the file")
+{
+    auto const loaded = load_settings("name = \"a\"\n", {"listen.port=1", "shards=[1,2]"}, table, "test.toml");
+    CHECK(loaded.integer("listen.port") == 1);
+    CHECK(loaded.integer_list("shards").size() == 2);
+}
+
+TEST_CASE("bad settings are refused with the key named")
+{
+    struct fault_case {
+        char const* text;
+        char const* key_named;
+    };
+    fault_case const cases[] = {
+        {"name = \"a\"\nlisten.prot = 1\n", "listen.prot"},     // unknown key
+        {"", "name"},                                           // missing required key
+        {"name = 3\n", "name"},                                 // wrong type
+        {"name = \"a\"\nlisten.port = 70000\n", "listen.port"}, // out of range
+        {"name = \"a\"\nshards = [1, 11]\n", "shards"},         // list item out of range
+        {"name = \"a\"\nlisten.port = 1.5\n", "listen.port"},   // float for integer
+        {"name = \n", "test.toml"},                             // syntax error names the file
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.text);
+        CHECK(refusal(item.text).find(item.key_named) != std::string::npos);
+    }
+}
