--- a/include/cornelspring/transport.hpp
+++ b/include/cornelspring/transport.hpp
@@ -217,6 +217,36 @@
     std::unique_ptr<impl> m_impl; ///< State owned by the service thread.
 };
 
+/**
+ * HTTP/1.1 client on libwebsockets, as callers use the entry nodes: for the load tool and the tests.
+ * One task: its service thread owns the context and every connection; a request arrives as a message
+ * and its result leaves through a callback run on that thread. One connection per request.
+ */
+class http_client {
+public:
+    /** Creates the client-only context and starts the service thread. */
+    http_client();
+    /** Stops the thread; callbacks of requests still pending are not run. */
+    ~http_client();
+    http_client(http_client const&) = delete;
+    http_client& operator=(http_client const&) = delete;
+
+    /**
+     * Sends @p request to @p peer. Thread-safe.
+     * @param peer address. @param request the request. @param timeout deadline; the result is then "unknown".
+     * @param done called once with the result on the client thread.
+     */
+    void submit(endpoint const& peer, http_request request, milliseconds timeout, result_callback done);
+    /** Sends and waits. @param peer address. @param request request. @param timeout deadline. @return the result. */
+    client_result call(endpoint const& peer, http_request request, milliseconds timeout);
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< State owned by the service thread.
+};
+
 /** Makes SIGTERM and SIGINT set a flag that wait_for_stop_signal() waits on; call early in main. */
 void install_stop_signals();
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,4 +1,6 @@
 /** @file http_server.cpp HTTP/1.1 server for callers and operators on libwebsockets. */
+#include "socket.hpp"
+
 #include <cornelspring/transport.hpp>
 
 #include <map>
@@ -34,6 +36,10 @@
     http_response response; ///< The reply.
 };
 
+} // namespace
+
+namespace detail {
+
 /** Routes libwebsockets' own log lines into log4cplus. */
 void emit_lws_log(int level, char const* line)
 {
@@ -48,7 +54,9 @@
     }
 }
 
-} // namespace
+void route_lws_logs() { lws_set_log_level(LLL_ERR | LLL_WARN, emit_lws_log); }
+
+} // namespace detail
 
 /** State of the server task; the service thread owns all but the reply queue. */
 struct http_server::impl {
@@ -257,7 +265,7 @@
 {
     m_impl->options = std::move(options);
     m_impl->handler = std::move(handler);
-    lws_set_log_level(LLL_ERR | LLL_WARN, emit_lws_log);
+    detail::route_lws_logs();
     lws_context_creation_info info{};
     info.port = m_impl->options.listen.port;
     info.iface = m_impl->options.listen.host.c_str();
--- a/src/transport/socket.hpp
+++ b/src/transport/socket.hpp
@@ -18,6 +18,9 @@
 /** Makes @p fd non-blocking and turns off Nagle's algorithm. @param fd socket. */
 void tune_socket(int fd);
 
+/** Sends libwebsockets' warnings and errors to log4cplus and silences its notices. */
+void route_lws_logs();
+
 /** A queue of tasks for a thread that sleeps in poll(), with a pipe that wakes it. */
 class task_queue {
 public:
--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -1,1 +1,117 @@
-/** @file process_fixture.cpp Placeholder replaced below. */
+/** @file process_fixture.cpp Starting, running and stopping child processes for the integration tests. */
+#include "process_fixture.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+extern char** environ;
+
+namespace cornelspring::testing {
+namespace {
+
+/** Longest wait for a child to write its ready file. */
+constexpr auto ready_wait = std::chrono::seconds(10);
+
+/** @return argv for posix_spawn. */
+std::vector<char*> make_argv(std::string const& program, std::vector<std::string> const& args)
+{
+    std::vector<char*> argv;
+    argv.push_back(const_cast<char*>(program.c_str()));
+    for (auto const& arg : args)
+        argv.push_back(const_cast<char*>(arg.c_str()));
+    argv.push_back(nullptr);
+    return argv;
+}
+
+/** @return the exit status of @p pid after it ended. */
+int wait_exit(pid_t pid)
+{
+    int status = 0;
+    waitpid(pid, &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+} // namespace
+
+std::string loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+process_group::process_group()
+{
+    std::string pattern = "/tmp/cornelspring-test.XXXXXX";
+    m_folder = mkdtemp(pattern.data());
+}
+
+process_group::~process_group()
+{
+    for (auto const& [name, pid] : m_children)
+        kill(pid, SIGTERM);
+    for (auto const& [name, pid] : m_children)
+        wait_exit(pid);
+}
+
+std::uint16_t process_group::start(std::string const& name, std::string const& binary,
+                                   std::vector<std::string> const& args)
+{
+    std::string const program = std::string(CORNEL_BIN_DIR) + "/" + binary;
+    std::string const ready = path(name + ".port");
+    std::vector<std::string> all = args;
+    all.push_back("--set");
+    all.push_back("ready_file=\"" + ready + "\"");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 2, path(name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    auto argv = make_argv(program, all);
+    pid_t pid = 0;
+    int const rc = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (rc != 0) throw error(error_kind::unavailable, "cannot start " + program + ".", "Build the project first.");
+    m_children[name] = pid;
+    auto const until = std::chrono::steady_clock::now() + ready_wait;
+    while (std::chrono::steady_clock::now() < until) {
+        try {
+            auto const text = read_file(ready);
+            if (!text.empty()) return static_cast<std::uint16_t>(std::stoi(text));
+        } catch (error const&) {
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    throw error(error_kind::unavailable, name + " did not get ready; see " + path(name + ".log") + ".",
+                "Read the child's log.");
+}
+
+int process_group::run(std::string const& binary, std::vector<std::string> const& args, std::string& output)
+{
+    std::string const program = std::string(CORNEL_BIN_DIR) + "/" + binary;
+    std::string const out_file = path("run.out");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, out_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+    posix_spawn_file_actions_addopen(&actions, 2, path("run.err").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    auto argv = make_argv(program, args);
+    pid_t pid = 0;
+    posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    int const status = wait_exit(pid);
+    output = read_file(out_file);
+    return status;
+}
+
+int process_group::stop(std::string const& name, int signal)
+{
+    auto const found = m_children.find(name);
+    if (found == m_children.end()) return -1;
+    kill(found->second, signal);
+    if (signal != SIGTERM && signal != SIGKILL) return 0;
+    int const status = wait_exit(found->second);
+    m_children.erase(found);
+    return status;
+}
+
+} // namespace cornelspring::testing
