--- a/tests/test_resources.cpp
+++ b/tests/test_resources.cpp
@@ -98,3 +98,15 @@
     CHECK(snapshot.replicas("catalogue-01", 1, 4).empty());
     CHECK(snapshot.replicas("catalogue-01", 2, 3).empty());
 }
+
+TEST_CASE("the shipped example resources of both deployments are valid")
+{
+    for (char const* folder : {"rechtshilfe", "leeuwin"}) {
+        CAPTURE(folder);
+        std::string const path = std::string(CORNEL_SOURCE_DIR) + "/examples/" + folder + "/resources.toml";
+        auto const resources = parse_resource_file(read_file(path), path);
+        std::size_t backends = 0;
+        for (auto const& item : resources) backends += item.kind == resource_kind::backend ? 1 : 0;
+        CHECK(backends >= 100);
+    }
+}
