--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -119,7 +119,8 @@
     std::optional<query_answer> answer; ///< The answer, when at least one shard answered.
     std::optional<error> failure;       ///< Otherwise why not.
     int retry_after_s = 0;              ///< When the caller may come back, for failures.
-    std::int32_t dispatched = 0;        ///< Shard requests sent (first tries and retries).
+    std::int32_t dispatched = 0;        ///< Shard requests submitted (first tries and retries).
+    std::int32_t reached = 0;           ///< Of those, requests that left this process (may have run).
 };
 
 /** Chooses among replicas of a shard: returns an index into @p candidates, skipping @p tried. */
--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -28,6 +28,7 @@
     std::vector<shard_slot> shards;                  ///< Shards by number.
     std::size_t unsettled = 0;                       ///< Shards not yet settled.
     std::int32_t dispatched = 0;                     ///< Shard requests sent.
+    std::int32_t reached = 0;                        ///< Shard requests that left this process (may have run).
     bool finished = false;                           ///< done was called.
     std::function<void(gather_result)> done;         ///< Result sink.
 };
@@ -120,6 +121,7 @@
 void scatter_gather::on_result(std::shared_ptr<query_state> const& state, std::size_t shard, client_result result)
 {
     if (state->finished) return;
+    if (result.outcome != send_outcome::not_sent) ++state->reached;
     auto& slot = state->shards[shard];
     if (result.outcome == send_outcome::answered && result.response.status == 200) {
         try {
@@ -149,6 +151,7 @@
     state->finished = true;
     gather_result result;
     result.dispatched = state->dispatched;
+    result.reached = state->reached;
     query_answer answer;
     answer.request_id = state->query.request_id;
     answer.service = state->query.service;
@@ -165,7 +168,8 @@
     answer.hits = merge_top_k(lists, static_cast<std::size_t>(state->query.k));
     if (answer.shards_answered > 0) {
         result.answer = std::move(answer);
-    } else if (state->dispatched == 0) {
+    } else if (state->reached == 0) {
+        // Every request failed before a byte of it left this process, so no back end ran the query.
         result.failure =
             error(error_kind::not_run, "no replica of '" + state->query.service + "' could take the query.",
                   "Come back after the time in Retry-After; the query did not run.");
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -32,7 +32,7 @@
                     .Add({}, latency_buckets)),
       m_shard_requests(prometheus::BuildCounter()
                            .Name("cornel_shard_requests_total")
-                           .Help("Requests sent to back ends, first tries and retries")
+                           .Help("Requests that reached back ends, first tries and retries")
                            .Register(*m_registry)
                            .Add({}))
 {
@@ -96,7 +96,7 @@
     auto const started = clock::now();
     m_gather.run(m_view.current(), std::move(message), [this, reply = std::move(reply), started](gather_result result) {
         m_latency.Observe(std::chrono::duration<double>(clock::now() - started).count());
-        m_shard_requests.Increment(result.dispatched);
+        m_shard_requests.Increment(result.reached);
         if (result.answer) {
             m_queries.Add({{"outcome", result.answer->coverage == 1.0 ? "whole" : "partial"}}).Increment();
             reply(json_response(200, nlohmann::json(*result.answer).dump()));
--- a/tests/test_end_to_end.cpp
+++ b/tests/test_end_to_end.cpp
@@ -1,5 +1,5 @@
 /** @file test_end_to_end.cpp Real processes on loopback: store, back ends, entry node and cornel-ctl. */
-#include "process_fixture.hpp"
+#include "deployment.hpp"
 
 #include <cornelspring/protocol.hpp>
 
@@ -10,110 +10,15 @@
 #include <doctest/doctest.h>
 
 using namespace cornelspring;
+using cornelspring::testing::converge_wait;
+using cornelspring::testing::deployment;
 using cornelspring::testing::loopback;
-using cornelspring::testing::process_group;
-
-namespace {
-
-/** Longest bounded wait for an entry node to reach a configuration revision. */
-constexpr auto converge_wait = std::chrono::seconds(10);
-/** Timeout of one HTTP call from the test. */
-constexpr milliseconds call_timeout{5000};
-
-/** A small deployment: one store, three back ends holding a 3-shard service twice over, one entry node. */
-struct deployment {
-    process_group group;
-    http_client client;
-    std::uint16_t store = 0;
-    std::uint16_t entry = 0;
-    std::vector<std::uint16_t> backends;
-
-    deployment()
-    {
-        store = group.start("store", "cornel-store", {"--set", "listen.port=0"});
-        std::vector<std::string> const holdings = {"[0,1]", "[1,2]", "[2,0]"};
-        for (std::size_t i = 0; i < holdings.size(); ++i) {
-            backends.push_back(
-                group.start("b" + std::to_string(i), "cornel-backend",
-                            {"--set", "name=\"b" + std::to_string(i) + "\"", "--set", "service=\"svc\"", "--set",
-                             "shard_count=3", "--set", "shards=" + holdings[i], "--set", "corpus.max_documents=3000"}));
-        }
-        entry = group.start(
-            "entry", "cornel-entry",
-            {"--set", "id=\"e1\"", "--set", "listen.port=0", "--set", "store.address=\"" + loopback(store) + "\""});
-    }
-
-    /** @return the resource file for the service and its back ends. */
-    std::string resources(std::int64_t version) const
-    {
-        std::string text = "[[service]]\nname = \"svc\"\ncustomer = \"Rechtshilfe\"\nshards = 3\nindex_version = " +
-                           std::to_string(version) + "\n";
-        std::vector<std::string> const holdings = {"[0,1]", "[1,2]", "[2,0]"};
-        for (std::size_t i = 0; i < backends.size(); ++i) {
-            text += "[[backend]]\nname = \"b" + std::to_string(i) + "\"\naddress = \"" + loopback(backends[i]) +
-                    "\"\nservice = \"svc\"\nzone = \"Wien\"\nshards = " + holdings[i] + "\n";
-        }
-        return text;
-    }
-
-    /** Runs cornel-ctl against the store. @return exit status; @p output gets stdout. */
-    int ctl(std::vector<std::string> args, std::string& output)
-    {
-        args.insert(args.begin(), {"--set", "store.address=\"" + loopback(store) + "\""});
-        return group.run("cornel-ctl", args, output);
-    }
-
-    /** Writes @p text to a file of the run and applies it. @return ctl's exit status. */
-    int apply(std::string const& text)
-    {
-        std::string const file = group.path("resources.toml");
-        std::ofstream(file) << text;
-        std::string output;
-        return ctl({"apply", file}, output);
-    }
-
-    /** @return the result of a request to the entry node. */
-    client_result send(std::string const& method, std::string const& path, std::string const& body)
-    {
-        http_request request;
-        request.method = method;
-        request.path = path;
-        request.body = body;
-        if (!body.empty()) request.headers.push_back({"content-type", "application/json"});
-        return client.call({"127.0.0.1", entry}, std::move(request), call_timeout);
-    }
-
-    /** @return the entry node's configuration revision from /healthz. */
-    std::int64_t entry_revision()
-    {
-        auto const result = send("GET", paths::health, "");
-        if (result.outcome != send_outcome::answered) return -1;
-        return nlohmann::json::parse(result.response.body).value("config_revision", std::int64_t{-1});
-    }
-
-    /** Waits (bounded) until the entry node has every back end and the service. */
-    void wait_for_backends(std::size_t count)
-    {
-        auto const until = std::chrono::steady_clock::now() + converge_wait;
-        while (std::chrono::steady_clock::now() < until) {
-            auto const result = send("POST", paths::query, R"({"service":"svc","query":"sea"})");
-            if (result.response.status == 200 && nlohmann::json::parse(result.response.body)["coverage"] == 1.0 &&
-                count > 0) {
-                return;
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        }
-        FAIL("the entry node did not converge within 10 s");
-    }
-};
-
-} // namespace
 
 TEST_CASE("a query is answered from every shard at one index version")
 {
     deployment d;
     REQUIRE(d.apply(d.resources(1)) == 0);
-    d.wait_for_backends(3);
+    d.wait_until_whole();
     auto const result =
         d.send("POST", paths::query, R"({"service":"svc","query":"love and war","k":5,"request_id":"r-1"})");
     REQUIRE(result.outcome == send_outcome::answered);
@@ -133,7 +38,7 @@
 {
     deployment d;
     REQUIRE(d.apply(d.resources(1)) == 0);
-    d.wait_for_backends(3);
+    d.wait_until_whole();
     auto const before = d.entry_revision();
     struct fault_case {
         char const* body;
@@ -186,7 +91,7 @@
 {
     deployment d;
     REQUIRE(d.apply(d.resources(1)) == 0);
-    d.wait_for_backends(3);
+    d.wait_until_whole();
     d.group.stop("b0", SIGKILL);
     for (int i = 0; i < 5; ++i) {
         auto const result = d.send("POST", paths::query, R"({"service":"svc","query":"sea"})");
--- a/tests/test_resources.cpp
+++ b/tests/test_resources.cpp
@@ -106,7 +106,8 @@
         std::string const path = std::string(CORNEL_SOURCE_DIR) + "/examples/" + folder + "/resources.toml";
         auto const resources = parse_resource_file(read_file(path), path);
         std::size_t backends = 0;
-        for (auto const& item : resources) backends += item.kind == resource_kind::backend ? 1 : 0;
+        for (auto const& item : resources)
+            backends += item.kind == resource_kind::backend ? 1 : 0;
         CHECK(backends >= 100);
     }
 }
