--- a/include/cornelspring/base.hpp
+++ b/include/cornelspring/base.hpp
@@ -99,6 +99,15 @@
     std::string m_remedy;  ///< What to do.
 };
 
+/**
+ * Checks, in the running program, a condition that must always hold. A violation is logged as an error and
+ * counted; the randomised runs and the entry node's metrics read the count.
+ * @param holds the condition. @param what the invariant, in words.
+ */
+void check_invariant(bool holds, char const* what);
+/** @return violations counted since the start. Thread-safe. */
+std::uint64_t invariant_violations();
+
 /**
  * Sets up log4cplus so that every record is one JSON object on one line of standard error.
  * @param program name written in each record's "program" field.
--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -5,7 +5,12 @@
 #include <cornelspring/transport.hpp>
 
 #include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <random>
+#include <set>
 #include <thread>
+#include <unordered_map>
 
 namespace cornelspring {
 
@@ -40,6 +45,8 @@
     void keep_alive(std::int64_t lease);
     /** Ends @p lease. */
     void revoke(std::int64_t lease);
+    /** Ends the calls in progress (as "unknown") by closing the connection; for stopping a task that waits. */
+    void interrupt() { m_client.drop_connections(m_store); }
     /** Waits for changes under @p prefix after revision @p after, at most @p wait. */
     watch_batch watch_prefix(std::string const& prefix, std::int64_t after, milliseconds wait);
 
@@ -68,6 +75,8 @@
     ~config_watcher();
     /** Starts the task. */
     void start();
+    /** Stops the task, interrupting the watch call in progress. */
+    void stop();
     /** @return true after the first full read succeeded. */
     bool synced() const { return m_synced; }
 
@@ -110,41 +119,161 @@
     member m_self;                       ///< This node.
     std::int64_t m_ttl_s;                ///< Lease time to live.
     std::int64_t m_lease = 0;            ///< Current lease, or 0.
+    bool m_registered = false;           ///< The member key was written under m_lease.
     std::atomic<bool> m_stopping{false}; ///< Set to end the task.
     std::thread m_thread;                ///< The task.
 };
 
+/** A bounded allowance for extra requests: each ordinary request earns a fraction, each extra one costs 1. */
+class token_budget {
+public:
+    /** @param ratio tokens earned per ordinary request. @param burst most tokens kept; it starts full. */
+    token_budget(double ratio, double burst) : m_ratio(ratio), m_burst(burst), m_tokens(burst) {}
+    /** Earns for @p requests ordinary requests. @param requests how many. */
+    void earn(std::size_t requests)
+    {
+        m_tokens = std::min(m_burst, m_tokens + m_ratio * static_cast<double>(requests));
+    }
+    /** @return true, and pays, when one extra request is allowed now. */
+    bool spend();
+
+private:
+    double m_ratio;  ///< Earned per ordinary request.
+    double m_burst;  ///< Upper bound.
+    double m_tokens; ///< Tokens left.
+};
+
+/** The most recent latencies of one service, for choosing a hedge delay. */
+class latency_window {
+public:
+    /** Adds one observation. @param latency time from send to answer. */
+    void add(std::chrono::microseconds latency);
+    /** @return the @p quantile of the window, or nothing before enough samples. @param quantile 0 to 1. */
+    std::optional<std::chrono::microseconds> quantile(double quantile);
+
+private:
+    std::vector<std::chrono::microseconds> m_samples;  ///< Ring of samples.
+    std::size_t m_next = 0;                            ///< Next place in the ring.
+    std::size_t m_since_sort = 0;                      ///< Samples added since m_cached was computed.
+    std::optional<std::chrono::microseconds> m_cached; ///< Last quantile computed.
+};
+
+/** How a back end answered one request, as the tracker sees it. */
+enum class attempt_outcome {
+    answered,  ///< A usable answer.
+    overtaken, ///< Cancelled because another replica answered first: its latency is at least the time it ran.
+    refused,   ///< It does not hold the shard at that version; says nothing of its speed.
+    shed,      ///< Refused for lack of a slot.
+    draining,  ///< Refused because it is leaving.
+    failed,    ///< Connection lost, timeout, or an answer that cannot be used.
+};
+
+/** Settings of the back-end tracker. */
+struct tracker_options {
+    milliseconds eject_base{200};     ///< First ejection after repeated failures; doubles up to eject_max.
+    milliseconds eject_max{5000};     ///< Longest ejection.
+    int failures_to_eject = 2;        ///< Failures in a row before a back end is ejected.
+    milliseconds drain_hold{5000};    ///< A back end that said it drains gets no work for this long.
+    milliseconds shed_hold{20};       ///< A back end that shed is avoided for this long when another can serve.
+    double latency_weight = 0.2;      ///< Weight of a new latency sample in the moving average.
+    milliseconds initial_latency{10}; ///< Latency assumed of a back end not yet seen.
+};
+
+/**
+ * What one entry node has observed of the back ends: outstanding requests, latency, failures, drain
+ * signals and the platform's VM list. Owned by the HTTP/2 client's thread. It trusts what requests
+ * show, not the back ends' own health and load endpoints, which lag or mislead.
+ */
+class backend_tracker {
+public:
+    /** @param options thresholds. */
+    explicit backend_tracker(tracker_options options = {}) : m_options(options) {}
+    /** Notes a request sent. @param name back end. */
+    void on_sent(std::string const& name);
+    /** Notes how a request ended. @param name back end. @param outcome how. @param took time it ran. @param now
+     * present. */
+    void on_ended(std::string const& name, attempt_outcome outcome, std::chrono::microseconds took, time_point now);
+    /** Replaces the addresses that the platform's VM list calls leaving. @param addresses host:port. */
+    void set_leaving(std::set<std::string> addresses) { m_leaving = std::move(addresses); }
+    /** @return whether new work may go to @p target. @param target replica. @param now present time. */
+    bool takes_work(replica const& target, time_point now) const;
+    /** @return whether @p target is neither ejected nor shedding. @param target replica. @param now present time. */
+    bool healthy(replica const& target, time_point now) const;
+    /** @return expected wait at @p target in microseconds; lower is better. @param target replica. */
+    double cost(replica const& target) const;
+
+private:
+    /** Observations of one back end. */
+    struct observation {
+        int outstanding = 0;    ///< Requests sent and not ended.
+        double latency_us = 0;  ///< Moving average; 0 before the first sample.
+        int failures = 0;       ///< Failures in a row.
+        time_point eject_until; ///< Ejected until then.
+        time_point drain_until; ///< Said it drains; no work until then.
+        time_point shed_until;  ///< Shed a request; avoided until then.
+    };
+
+    tracker_options m_options;                               ///< Thresholds.
+    std::unordered_map<std::string, observation> m_backends; ///< Observations by back end name.
+    std::set<std::string> m_leaving;                         ///< Leaving addresses from the VM list.
+};
+
+/** Chooses among replicas of a shard: returns an index into @p candidates, skipping @p tried. */
+using replica_chooser = std::function<std::optional<std::size_t>(std::vector<replica> const& candidates,
+                                                                 std::vector<bool> const& tried, time_point now)>;
+
+/** @return the plain policy: a random untried replica, whatever was observed. @param seed random seed. */
+replica_chooser make_random_chooser(std::uint64_t seed);
+/**
+ * @return the measured policy: the untried replica with the lowest expected wait among healthy ones; ejected
+ * or shedding ones only when no other is left; never one that is leaving.
+ * @param tracker observations; must outlive the chooser. @param seed random seed for ties.
+ */
+replica_chooser make_adaptive_chooser(backend_tracker const& tracker, std::uint64_t seed);
+
 /** Outcome of a scatter-gather. */
 struct gather_result {
     std::optional<query_answer> answer; ///< The answer, when at least one shard answered.
     std::optional<error> failure;       ///< Otherwise why not.
     int retry_after_s = 0;              ///< When the caller may come back, for failures.
-    std::int32_t dispatched = 0;        ///< Shard requests submitted (first tries and retries).
+    std::int32_t dispatched = 0;        ///< Shard requests submitted (first tries, retries and hedges).
     std::int32_t reached = 0;           ///< Of those, requests that left this process (may have run).
+    std::int32_t retries = 0;           ///< Requests sent after a failure.
+    std::int32_t hedges = 0;            ///< Requests sent while another was still open.
 };
 
-/** Chooses among replicas of a shard: returns an index into @p candidates, skipping @p tried. */
-using replica_chooser = std::function<std::optional<std::size_t>(std::vector<replica> const& candidates,
-                                                                 std::vector<bool> const& tried, time_point now)>;
-
-/** @return a chooser that takes the first untried replica after a start chosen by the request's hash. */
-replica_chooser make_rotating_chooser();
-
 /** Settings of scatter-gather. */
 struct gather_options {
     milliseconds default_deadline{1000};  ///< Deadline when the caller gives none.
-    std::int32_t max_tries_per_shard = 3; ///< First try plus retries on other replicas.
+    std::int32_t max_tries_per_shard = 4; ///< First try, retries and hedges of one shard.
+    milliseconds retry_backoff{10};       ///< Wait before a replica that failed is tried again.
+    double retry_ratio = 0.2;             ///< Retries allowed per shard request, in the long run.
+    double retry_burst = 200;             ///< Retries allowed at once.
+    bool hedge = true;                    ///< Send a second request for a slow shard.
+    double hedge_quantile = 0.95;         ///< A shard slower than this quantile of recent answers is hedged.
+    double hedge_ratio = 0.05;            ///< Hedges allowed per shard request, in the long run.
+    double hedge_burst = 50;              ///< Hedges allowed at once.
+    milliseconds hedge_min{1};            ///< Shortest hedge delay.
+    milliseconds hedge_initial{20};       ///< Hedge delay before latencies are known.
 };
 
+/** Gives the configuration in force now; hook used to re-pin a query whose index version was retired. */
+using snapshot_source = std::function<std::shared_ptr<config_snapshot const>()>;
+
 /**
  * Fans a query out to one replica of every shard of a service, pinned to one index version, retries
- * shards on other replicas that hold the same version, and merges what came back before the deadline.
- * Runs on the HTTP/2 client's thread: its per-query state is touched only there.
+ * shards on other replicas that hold the same version, hedges slow shards, and merges what came back
+ * before the deadline. Runs on the HTTP/2 client's thread: its per-query state is touched only there.
  */
 class scatter_gather {
 public:
-    /** @param client transport. @param options limits. @param chooser replica policy. */
-    scatter_gather(h2_client& client, gather_options options, replica_chooser chooser);
+    /**
+     * @param client transport. @param options limits. @param chooser replica policy.
+     * @param tracker observations to feed; must outlive this.
+     * @param current configuration source for re-pinning; may be empty.
+     */
+    scatter_gather(h2_client& client, gather_options options, replica_chooser chooser, backend_tracker& tracker,
+                   snapshot_source current = {});
     /**
      * Starts one query. @param snapshot configuration to route by. @param query the caller's request, with its id.
      * @param done called once on the client thread with the result.
@@ -154,16 +283,170 @@
 
 private:
     struct query_state;
-    /** Sends shard @p shard of @p state to its next replica, or marks it failed. */
-    void send_shard(std::shared_ptr<query_state> const& state, std::size_t shard);
+    struct attempt;
+    using state_ptr = std::shared_ptr<query_state>;
+
+    /** Pins @p state to the index version of @p snapshot and sends every shard. */
+    void start(state_ptr const& state, std::shared_ptr<config_snapshot const> snapshot);
+    /** Sends shard @p shard to its next replica. @return false when no replica can be tried. */
+    bool send_shard(state_ptr const& state, std::size_t shard);
+    /** Sends the request of shard @p shard to candidate @p pick. */
+    void dispatch(state_ptr const& state, std::size_t shard, std::size_t pick, time_point now);
     /** Handles the result of one shard request. */
-    void on_result(std::shared_ptr<query_state> const& state, std::size_t shard, client_result result);
+    void on_result(state_ptr const& state, std::uint64_t generation, std::size_t shard, std::size_t pick,
+                   client_result result);
+    /** Takes a shard's answer when it is this query's own. @return whether it was taken. */
+    bool accept_answer(query_state& state, std::size_t shard, std::string const& body);
+    /** Tries shard @p shard again after a failure: another replica now, or the same ones after a wait. */
+    void retry_shard(state_ptr const& state, std::size_t shard);
+    /** Cancels the requests of shard @p shard that are still open. */
+    void cancel_rest(query_state& state, std::size_t shard, time_point now);
+    /** Hedges every shard that has been open longer than the hedge delay, and comes back later. */
+    void hedge_slow(state_ptr const& state, std::uint64_t generation);
+    /** @return the present hedge delay for @p service. */
+    std::chrono::microseconds hedge_delay(std::string const& service);
+    /** Marks a shard as settled. */
+    void settle(state_ptr const& state, std::size_t shard);
+    /** Starts over at the version now in force when the pinned one was retired. @return whether it did. */
+    bool repin(state_ptr const& state);
     /** Finishes the query when every shard is settled. */
-    void maybe_finish(std::shared_ptr<query_state> const& state);
+    void maybe_finish(state_ptr const& state);
 
-    h2_client& m_client;       ///< Transport.
-    gather_options m_options;  ///< Limits.
-    replica_chooser m_chooser; ///< Policy.
+    h2_client& m_client;                               ///< Transport.
+    gather_options m_options;                          ///< Limits.
+    replica_chooser m_chooser;                         ///< Policy.
+    backend_tracker& m_tracker;                        ///< Observations.
+    snapshot_source m_current;                         ///< Configuration in force.
+    token_budget m_retry_budget;                       ///< Allowance for retries.
+    token_budget m_hedge_budget;                       ///< Allowance for hedges.
+    std::map<std::string, latency_window> m_latencies; ///< Recent shard latencies by service.
+};
+
+/** Steps of a non-idempotent request, for fault injection in tests. */
+enum class write_step {
+    before_claim,    ///< Nothing done yet.
+    before_dispatch, ///< The claim is recorded; nothing sent to a back end.
+    before_record,   ///< The back end has answered (or not); the outcome is not recorded yet.
+};
+
+/** Settings of the write coordinator. */
+struct write_options {
+    std::string owner = "entry";             ///< Entry node id, kept in the records.
+    std::size_t workers = 8;                 ///< Writes carried at once.
+    std::size_t queue_limit = 256;           ///< Writes waiting; more are refused as not run.
+    milliseconds default_deadline{2000};     ///< Deadline when the caller gives none.
+    milliseconds claim_wait{1000};           ///< Longest time spent on a store that does not answer.
+    milliseconds retry_delay{50};            ///< Wait between store tries.
+    std::int64_t retention_s = 86400;        ///< How long a record is kept: the idempotency window.
+    std::function<void(write_step)> at_step; ///< Fault-injection hook; may block (a paused process).
+};
+
+/** What became of a non-idempotent request. */
+struct write_result {
+    std::optional<write_answer> answer; ///< Its result, when it ran (now or before).
+    std::optional<error> failure;       ///< Otherwise not_run, unavailable, conflict or outcome_unknown.
+    int retry_after_s = 0;              ///< When the caller may come back.
+};
+
+/**
+ * Runs non-idempotent requests at most once. Before anything is sent, the idempotency key is claimed by a
+ * compare-and-swap record in the store; after an attempt whose outcome is not known nothing is ever sent
+ * again for that key. See docs/design/at-most-once.md.
+ */
+class write_coordinator {
+public:
+    /**
+     * @param store store client. @param client transport to back ends. @param chooser replica policy.
+     * @param tracker observations. @param options limits.
+     */
+    write_coordinator(store_client& store, h2_client& client, replica_chooser chooser, backend_tracker& tracker,
+                      write_options options);
+    /** Stops the workers after the writes in progress. */
+    ~write_coordinator();
+    /**
+     * Queues one write. @param snapshot configuration to route by. @param request the caller's request.
+     * @param done called once from a worker thread (or at once, when the queue is full).
+     */
+    void run(std::shared_ptr<config_snapshot const> snapshot, write_request request,
+             std::function<void(write_result)> done);
+    /** @return record updates that still wait for the store. Thread-safe. */
+    std::size_t unrecorded() const;
+
+private:
+    /** A queued write. */
+    struct job {
+        std::shared_ptr<config_snapshot const> snapshot; ///< Routing.
+        write_request request;                           ///< Request.
+        time_point deadline;                             ///< When the caller gives up.
+        std::function<void(write_result)> done;          ///< Result sink.
+    };
+    /** A record change that must still be written. */
+    struct record_update {
+        std::string key;  ///< Store key.
+        std::string from; ///< Value it must replace.
+        std::string to;   ///< New value.
+    };
+    /** What a claim attempt found. */
+    struct claim_result;
+    /** How the back ends dealt with a claimed request. */
+    struct dispatch_result;
+
+    void work();
+    write_result execute(job& task);
+    claim_result claim(std::string const& key, write_record const& mine, time_point deadline);
+    dispatch_result dispatch(job const& task);
+    std::optional<std::size_t> pick(std::vector<replica> const& candidates, std::vector<bool> const& tried);
+    void note(std::string const& backend, std::optional<attempt_outcome> outcome, std::chrono::microseconds took);
+    write_result replay(write_record const& record, write_request const& request) const;
+    void update_record(record_update change);
+    bool try_update(record_update const& change);
+    void record_later();
+    std::int64_t retention_lease();
+    std::string new_claim();
+    void step(write_step where) const;
+
+    store_client& m_store;                  ///< Store.
+    h2_client& m_client;                    ///< Transport.
+    replica_chooser m_chooser;              ///< Policy; called on the client thread.
+    backend_tracker& m_tracker;             ///< Observations; touched on the client thread.
+    write_options m_options;                ///< Limits.
+    mutable std::mutex m_mutex;             ///< Guards the fields below.
+    std::condition_variable m_job_ready;    ///< Signals a job or the stop, to the workers.
+    std::condition_variable m_update_ready; ///< Signals an update or the stop, to the recorder.
+    std::deque<job> m_jobs;                 ///< Waiting writes.
+    std::deque<record_update> m_updates;    ///< Record changes waiting for the store.
+    std::mt19937_64 m_random;               ///< Claim ids.
+    std::int64_t m_lease = 0;               ///< Retention lease in use.
+    time_point m_lease_renew;               ///< When a new retention lease is granted.
+    bool m_stopping = false;                ///< Workers should end.
+    std::vector<std::thread> m_workers;     ///< Workers.
+    std::thread m_recorder;                 ///< Writes m_updates.
+};
+
+/** Settings of the VM-list watcher. */
+struct vm_list_options {
+    endpoint address;            ///< The platform's VM list.
+    milliseconds interval{1000}; ///< Time between reads.
+    milliseconds timeout{1000};  ///< Timeout of one read.
+};
+
+/** A task that reads the platform's VM list and tells the tracker which back ends are leaving. */
+class vm_list_watcher {
+public:
+    /** @param client transport; its thread owns @p tracker. @param tracker told. @param options where and how often. */
+    vm_list_watcher(h2_client& client, backend_tracker& tracker, vm_list_options options);
+    /** Stops the task. */
+    ~vm_list_watcher();
+
+private:
+    /** Reads the list once. */
+    void read_once();
+
+    h2_client& m_client;                 ///< Transport.
+    backend_tracker& m_tracker;          ///< Told on the client thread.
+    vm_list_options m_options;           ///< Where and how often.
+    std::atomic<bool> m_stopping{false}; ///< Ends the task.
+    std::thread m_thread;                ///< The task.
 };
 
 } // namespace cornelspring
--- a/include/cornelspring/protocol.hpp
+++ b/include/cornelspring/protocol.hpp
@@ -15,14 +15,22 @@
 /** Paths of the interfaces, in one place. */
 namespace paths {
 inline constexpr char const* query = "/v1/query";               ///< Caller: search a service.
+inline constexpr char const* writes = "/v1/writes";             ///< Caller: run a non-idempotent request.
 inline constexpr char const* entries = "/v1/entries";           ///< Caller: which entry addresses to use.
 inline constexpr char const* health = "/healthz";               ///< Liveness and drain state.
 inline constexpr char const* metrics = "/metrics";              ///< Prometheus text.
 inline constexpr char const* shard_search = "/v1/shard/search"; ///< Entry to back end: search one shard.
+inline constexpr char const* shard_write = "/v1/shard/write";   ///< Entry to back end: run a write.
+inline constexpr char const* journal = "/v1/journal";           ///< Back-end stand-in: what it received and ran.
+inline constexpr char const* load_version = "/v1/versions";     ///< Back-end stand-in: load another index version.
+inline constexpr char const* vms = "/v1/vms";                   ///< Platform stand-in: live and leaving VMs.
 inline constexpr char const* backend_load = "/v1/load";         ///< Back end's own load report (may mislead).
 inline constexpr char const* fault = "/v1/fault";               ///< Fault injection of a stand-in.
 } // namespace paths
 
+/** Response header by which a back end says, with a 503, that it is leaving rather than merely busy. */
+inline constexpr char const* draining_header = "x-draining";
+
 /** One ranked hit. */
 struct hit {
     std::uint64_t doc = 0; ///< Document number in the corpus.
@@ -67,13 +75,59 @@
 
 /** The answer to a caller's search. */
 struct query_answer {
-    std::string request_id;           ///< Echo of the caller's id.
-    std::string service;              ///< Service searched.
-    std::int64_t index_version = 0;   ///< The one snapshot every hit comes from.
-    std::int32_t shards_total = 0;    ///< Shards the service has.
-    std::int32_t shards_answered = 0; ///< Shards whose hits are included.
-    double coverage = 0;              ///< shards_answered / shards_total.
-    std::vector<hit> hits;            ///< Merged best hits, best first.
+    std::string request_id;            ///< Echo of the caller's id.
+    std::string service;               ///< Service searched.
+    std::int64_t index_version = 0;    ///< The one snapshot every hit comes from.
+    std::int32_t shards_total = 0;     ///< Shards the service has.
+    std::int32_t shards_answered = 0;  ///< Shards whose hits are included.
+    double coverage = 0;               ///< shards_answered / shards_total.
+    std::vector<std::int32_t> missing; ///< Shards that did not contribute.
+    std::vector<hit> hits;             ///< Merged best hits, best first.
+};
+
+/** A caller's non-idempotent request, such as a booking. */
+struct write_request {
+    std::string service;          ///< Service it goes to.
+    std::string idempotency_key;  ///< Names the request; the same key never runs twice.
+    std::string entity;           ///< What it concerns; its hash picks the shard.
+    std::string body;             ///< Passed to the back end unread.
+    std::int64_t deadline_ms = 0; ///< Time budget in milliseconds; 0 takes the entry node's default.
+};
+
+/** The answer to a non-idempotent request that ran. */
+struct write_answer {
+    std::string idempotency_key; ///< Echo of the key.
+    std::string service;         ///< Service.
+    std::string result;          ///< What the back end returned.
+    std::string backend;         ///< Back end that ran it.
+    bool replayed = false;       ///< True when it ran for an earlier submission of the same key.
+};
+
+/** Request from an entry node to a back end to run a write. */
+struct shard_write {
+    std::string idempotency_key;  ///< The caller's key.
+    std::string service;          ///< Service.
+    std::int32_t shard = 0;       ///< Shard of the entity.
+    std::string body;             ///< The caller's body.
+    std::int64_t deadline_ms = 0; ///< Time left, in milliseconds.
+};
+
+/** States of the record of a non-idempotent request. */
+enum class write_state {
+    claimed,  ///< An entry node may send it, or has sent it.
+    released, ///< Claimed once, but certainly never ran: may be claimed again.
+    done,     ///< Ran; the result is in the record.
+    unknown,  ///< Sent, and whether it ran is not known: never sent again.
+};
+
+/** Record of a non-idempotent request, kept in the store under write_prefix. */
+struct write_record {
+    write_state state = write_state::claimed; ///< State.
+    std::string claim;                        ///< Unique id of the claim that wrote it.
+    std::string owner;                        ///< Entry node that made the claim.
+    std::string fingerprint;                  ///< Hash of the request, to refuse another request under the same key.
+    std::string result;                       ///< Result, when done.
+    std::string backend;                      ///< Back end that ran it, when done.
 };
 
 /** Entry addresses a caller may use and how long to keep them. */
@@ -110,9 +164,23 @@
 void from_json(nlohmann::json const& in, query_request& value); ///< Decodes and checks a caller query.
 void to_json(nlohmann::json& out, query_answer const& value);   ///< Encodes a caller answer.
 void from_json(nlohmann::json const& in, query_answer& value);  ///< Decodes a caller answer.
+void to_json(nlohmann::json& out, write_request const& value);  ///< Encodes a write.
+void from_json(nlohmann::json const& in, write_request& value); ///< Decodes and checks a write.
+void to_json(nlohmann::json& out, write_answer const& value);   ///< Encodes a write's answer.
+void from_json(nlohmann::json const& in, write_answer& value);  ///< Decodes a write's answer.
+void to_json(nlohmann::json& out, shard_write const& value);    ///< Encodes a shard write.
+void from_json(nlohmann::json const& in, shard_write& value);   ///< Decodes a shard write.
+void to_json(nlohmann::json& out, write_record const& value);   ///< Encodes a write record.
+void from_json(nlohmann::json const& in, write_record& value);  ///< Decodes a write record.
 void to_json(nlohmann::json& out, entry_list const& value);     ///< Encodes an entry list.
 void from_json(nlohmann::json const& in, entry_list& value);    ///< Decodes an entry list.
 
+/** @return the SHA-256 of @p text as hex (OpenSSL). @param text bytes. */
+std::string fingerprint(std::string const& text);
+/** @return the shard of @p entity among @p shards, the same on every entry node. @param entity id. @param shards > 0.
+ */
+std::int32_t shard_of_entity(std::string const& entity, std::int32_t shards);
+
 /** @return the lower-case words of @p text, split at anything that is not a letter or digit. @param text query. */
 std::vector<std::string> split_terms(std::string const& text);
 
--- a/include/cornelspring/state.hpp
+++ b/include/cornelspring/state.hpp
@@ -25,16 +25,21 @@
     std::int64_t index_version = 1; ///< Version that queries are pinned to.
 };
 
+/** The shards a back end holds of one index version; versions may be cut into different sets of shards. */
+struct holding {
+    std::int64_t index_version = 1;   ///< Index version.
+    std::vector<std::int32_t> shards; ///< Shards held at that version.
+};
+
 /** A back end: a server holding replicas of some shards of one service. */
 struct backend_spec {
-    std::string address;                      ///< host:port of its HTTP/2 listener.
-    std::string service;                      ///< Service whose shards it holds.
-    std::string zone;                         ///< Failure domain (Wien, Perth, ...).
-    std::vector<std::int32_t> shards;         ///< Shards held.
-    std::vector<std::int64_t> index_versions; ///< Index versions held.
-    std::int32_t slots = 2;                   ///< Requests it runs at once.
-    std::int32_t connections = 25;            ///< Connections it accepts.
-    bool draining = false;                    ///< Operator marked it as leaving: send no new work.
+    std::string address;           ///< host:port of its HTTP/2 listener.
+    std::string service;           ///< Service whose shards it holds.
+    std::string zone;              ///< Failure domain (Wien, Perth, ...).
+    std::vector<holding> holdings; ///< Shards held, per index version.
+    std::int32_t slots = 2;        ///< Requests it runs at once.
+    std::int32_t connections = 25; ///< Connections it accepts.
+    bool draining = false;         ///< Operator marked it as leaving: send no new work.
 };
 
 /** A route: which customer's callers may reach which service. */
@@ -58,6 +63,12 @@
 /** Prefix of entry-node membership keys (bound to leases). */
 inline constexpr char const* member_prefix = "/cornelspring/members/";
 
+/**
+ * Prefix of the records of non-idempotent requests. It lies outside key_prefix, so that the entry nodes'
+ * configuration watches do not carry one event per write.
+ */
+inline constexpr char const* write_prefix = "/cornelspring.writes/";
+
 /** @return the store key of a resource. @param kind kind. @param name name. */
 std::string resource_key(resource_kind kind, std::string const& name);
 
@@ -88,11 +99,15 @@
 
 /** A back end that can answer one shard at one version. */
 struct replica {
-    std::string name; ///< Back end name.
-    endpoint address; ///< Where to send.
-    std::string zone; ///< Failure domain.
+    std::string name;       ///< Back end name.
+    endpoint address;       ///< Where to send.
+    std::string zone;       ///< Failure domain.
+    std::int32_t slots = 2; ///< Requests it runs at once.
 };
 
+/** Replicas of each shard of one service at one index version. */
+using shard_replicas = std::vector<std::vector<replica>>;
+
 /** An immutable snapshot of the configuration as one entry node knows it. */
 struct config_snapshot {
     std::int64_t revision = 0;                    ///< Store revision it reflects.
@@ -100,11 +115,15 @@
     std::map<std::string, backend_spec> backends; ///< Back ends by name.
     std::map<std::string, route_spec> routes;     ///< Routes by name.
     std::map<std::string, member> members;        ///< Entry nodes by id.
+    /** Replicas by service and index version, rebuilt by build_routes(); queries only look it up. */
+    std::map<std::pair<std::string, std::int64_t>, shard_replicas> routing;
+    /** Rebuilds @c routing from the services and back ends; called once per change, not per query. */
+    void build_routes();
     /**
      * @return back ends of @p service that hold @p shard at @p version and are not draining, in name order.
      * @param service service name. @param shard shard. @param version pinned version.
      */
-    std::vector<replica> replicas(std::string const& service, std::int32_t shard, std::int64_t version) const;
+    std::vector<replica> const& replicas(std::string const& service, std::int32_t shard, std::int64_t version) const;
 };
 
 /**
--- a/include/cornelspring/transport.hpp
+++ b/include/cornelspring/transport.hpp
@@ -25,8 +25,12 @@
     std::string path = "/";           ///< Path with query string.
     std::vector<http_header> headers; ///< Headers other than pseudo-headers.
     std::string body;                 ///< Body.
+    /** Set once the peer gave the request up (stream reset or connection lost); null on the sending side. */
+    std::shared_ptr<std::atomic<bool>> cancelled;
     /** @return the value of header @p name, or "" when absent. @param name lower-case name. */
     std::string header(std::string const& name) const;
+    /** @return true when the peer no longer waits for the answer. */
+    bool is_cancelled() const { return cancelled != nullptr && cancelled->load(); }
 };
 
 /** A response. */
@@ -98,8 +102,10 @@
     std::size_t drain(milliseconds limit);
     /** @return the number of requests accepted and not yet answered. Thread-safe. */
     std::size_t in_flight() const;
-    /** Freezes or thaws the given connection count: a frozen server reads nothing (fault injection). */
+    /** Fault injection: a frozen server reads nothing and accepts nothing. @param frozen on or off. */
     void set_frozen(bool frozen);
+    /** Fault injection: connections open now go silent for good (nothing read, nothing written); new ones work. */
+    void silence_open_connections();
 
     /** Opaque state, defined in the source file. */
     struct impl;
@@ -128,16 +134,29 @@
 /** Identifies a submitted request for cancellation. */
 using call_id = strong_id<struct call_id_tag, std::uint64_t>;
 
-/** Limits of the client's connections to one peer. */
+/** Limits of the client's connections. */
 struct client_options {
-    milliseconds connect_timeout{1000};           ///< Longest wait for a TCP connection.
-    std::size_t max_streams_per_connection = 100; ///< Concurrent streams on one connection.
+    milliseconds connect_timeout{1000}; ///< Longest wait for a TCP connection.
+    milliseconds ping_after{500};       ///< With calls open, a PING is sent after this long without a byte read.
+    milliseconds ping_timeout{500};     ///< No byte this long after a PING: the connection is silent and is closed.
+    milliseconds suspect_after{100};    ///< A call that timed out on a connection quiet this long retires it.
+};
+
+/** What the client has done since it started. */
+struct client_stats {
+    std::uint64_t connections_opened = 0; ///< TCP connections begun.
+    std::uint64_t connections_silent = 0; ///< Connections closed because a PING got no answer.
+    std::uint64_t bytes_sent = 0;         ///< Bytes written to sockets.
+    std::uint64_t bytes_received = 0;     ///< Bytes read from sockets.
 };
 
 /**
- * HTTP/2 client (h2c, prior knowledge) on nghttp2: one task whose thread owns a connection per peer,
- * every stream and every timer. Requests arrive as messages; results leave through callbacks run on
- * that thread, so code driven by callbacks needs no locks of its own.
+ * HTTP/2 client (h2c, prior knowledge) on nghttp2: one task whose thread owns one warm connection per
+ * peer, every stream and every timer. Requests arrive as messages; results leave through callbacks run
+ * on that thread, so code driven by callbacks needs no locks of its own.
+ *
+ * A connection that goes silent while calls are open is found by PING and closed, so its calls end as
+ * "unknown" well before their deadlines; a peer that sends GOAWAY gets no new stream on that connection.
  */
 class h2_client {
 public:
@@ -161,6 +180,10 @@
     void cancel(call_id id);
     /** Runs @p task on the client thread. Thread-safe. @param task the work. */
     void post(std::function<void()> task);
+    /** Runs @p task on the client thread at @p when; call on the client thread only. */
+    void run_at(time_point when, std::function<void()> task);
+    /** @return counters since the start. Thread-safe. */
+    client_stats stats() const;
     /**
      * Sends and waits for the result; for tools and tests, not for the query path.
      * @param peer address.
@@ -169,6 +192,8 @@
      * @return the result.
      */
     client_result call(endpoint const& peer, http_request request, milliseconds timeout);
+    /** Ends the client thread; requests still open get no callback. Called by the destructor too. */
+    void stop();
     /** Closes every connection to @p peer abruptly (fault injection and after a peer was removed). */
     void drop_connections(endpoint const& peer);
 
--- a/src/backend/backend_service.cpp
+++ b/src/backend/backend_service.cpp
@@ -1,4 +1,4 @@
-/** @file backend_service.cpp Shard search with slots, load shedding, deadlines, drain and stragglers. */
+/** @file backend_service.cpp Searches and writes with slots, shedding, deadlines, cancellation, drain and faults. */
 #include "backend_service.hpp"
 
 namespace cornelspring {
@@ -6,18 +6,40 @@
 
 /** Seconds a shed caller is told to wait. */
 constexpr int shed_retry_after_s = 1;
+/** Most journal entries kept. */
+constexpr std::size_t journal_limit = 500000;
+/** How often a waiting job looks whether its caller is still there. */
+constexpr milliseconds cancel_check{2};
+/** What a garbled answer holds. */
+constexpr char const* garbled_body = "\x01\x02 not what was asked for";
+
+/** @return the name of @p event in the journal. */
+char const* event_name(journal_event event)
+{
+    switch (event) {
+    case journal_event::received: return "received";
+    case journal_event::refused: return "refused";
+    case journal_event::ran: return "ran";
+    }
+    return "received";
+}
+
+/** @return a 503 that says the request did not run. */
+http_response refusal(std::string const& why, bool draining)
+{
+    auto response = error_response(error(error_kind::not_run, why, "Send it to another replica or come back later."),
+                                   shed_retry_after_s);
+    if (draining) response.headers.push_back({draining_header, "1"});
+    return response;
+}
 
 } // namespace
 
 backend_service::backend_service(backend_config config, std::vector<document> const& corpus)
-    : m_config(std::move(config))
+    : m_config(std::move(config)), m_corpus(corpus), m_started(clock::now())
 {
-    for (auto version : m_config.versions) {
-        for (auto shard : m_config.shards) {
-            m_indexes.emplace(std::make_pair(version, shard),
-                              shard_index(corpus, shard, version, m_config.shard_count));
-        }
-    }
+    for (auto const& version : m_config.holding)
+        load_version(version);
     for (std::size_t i = 0; i < m_config.slots; ++i)
         m_workers.emplace_back([this] { work(); });
 }
@@ -33,10 +55,26 @@
         worker.join();
 }
 
-shard_index const* backend_service::find_index(std::int64_t version, std::int32_t shard) const
+void backend_service::load_version(version_holding const& version)
 {
+    for (auto shard : version.shards) {
+        auto index = std::make_shared<shard_index const>(m_corpus, shard, version.index_version, version.shard_count);
+        std::lock_guard lock(m_mutex);
+        m_indexes[{version.index_version, shard}] = std::move(index);
+    }
+}
+
+void backend_service::drop_version(std::int64_t index_version)
+{
+    std::lock_guard lock(m_mutex);
+    std::erase_if(m_indexes, [index_version](auto const& item) { return item.first.first == index_version; });
+}
+
+backend_service::index_ptr backend_service::find_index(std::int64_t version, std::int32_t shard) const
+{
+    std::lock_guard lock(m_mutex);
     auto const found = m_indexes.find({version, shard});
-    return found == m_indexes.end() ? nullptr : &found->second;
+    return found == m_indexes.end() ? nullptr : found->second;
 }
 
 void backend_service::begin_drain()
@@ -45,74 +83,190 @@
     m_faults.draining = true;
 }
 
+void backend_service::set_faults(backend_faults const& faults)
+{
+    std::lock_guard lock(m_mutex);
+    m_faults = faults;
+}
+
+std::vector<journal_entry> backend_service::journal() const
+{
+    std::lock_guard lock(m_mutex);
+    return {m_journal.begin(), m_journal.end()};
+}
+
+bool backend_service::chance(double probability)
+{
+    return probability > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+void backend_service::note(journal_event event, job const& task)
+{
+    journal_entry entry;
+    entry.event = event;
+    entry.is_write = task.is_write;
+    entry.id = task.is_write ? task.write.idempotency_key : task.query.request_id;
+    entry.shard = task.is_write ? task.write.shard : task.query.shard;
+    entry.index_version = task.query.index_version;
+    entry.at_ms = std::chrono::duration_cast<milliseconds>(clock::now().time_since_epoch()).count();
+    m_journal.push_back(std::move(entry));
+    if (m_journal.size() > journal_limit) m_journal.pop_front();
+}
+
 void backend_service::handle(http_request const& request, reply_fn reply)
 {
-    if (request.path == paths::shard_search && request.method == "POST") {
+    bool const is_post = request.method == "POST";
+    if (request.path == paths::shard_search && is_post) {
         search(request, std::move(reply));
-        return;
+    } else if (request.path == paths::shard_write && is_post) {
+        write(request, std::move(reply));
+    } else if (request.path == paths::health || request.path == paths::backend_load) {
+        reply(health_json());
+    } else if (request.path == paths::journal) {
+        reply(journal_json());
+    } else if (request.path == paths::fault && is_post) {
+        reply(set_faults_json(nlohmann::json::parse(request.body, nullptr, false)));
+    } else if (request.path == paths::load_version && is_post) {
+        reply(change_versions(nlohmann::json::parse(request.body, nullptr, false)));
+    } else {
+        reply(error_response(
+            error(error_kind::not_found, "no back-end API at '" + request.path + "'.", "Use POST /v1/shard/search.")));
     }
+}
+
+http_response backend_service::health_json() const
+{
     std::lock_guard lock(m_mutex);
-    if (request.path == paths::health) {
-        nlohmann::json body{{"name", m_config.name}, {"draining", m_faults.draining}};
-        reply(json_response(m_faults.draining ? 503 : 200, body.dump()));
-        return;
+    bool const draining = m_faults.draining && !m_faults.health_lies;
+    nlohmann::json const body{{"name", m_config.name},
+                              {"draining", draining},
+                              {"busy", m_faults.health_lies ? 0 : m_busy},
+                              {"slots", m_config.slots}};
+    return json_response(draining ? 503 : 200, body.dump());
+}
+
+http_response backend_service::journal_json() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (auto const& entry : journal()) {
+        list.push_back({{"event", event_name(entry.event)},
+                        {"id", entry.id},
+                        {"write", entry.is_write},
+                        {"shard", entry.shard},
+                        {"index_version", entry.index_version},
+                        {"at_ms", entry.at_ms}});
     }
-    if (request.path == paths::backend_load) {
-        nlohmann::json body{{"busy", m_busy}, {"slots", m_config.slots}};
-        reply(json_response(200, body.dump()));
-        return;
+    return json_response(200, nlohmann::json{{"entries", list}}.dump());
+}
+
+http_response backend_service::set_faults_json(nlohmann::json const& body)
+{
+    if (!body.is_object()) {
+        return error_response(error(error_kind::bad_request, "fault body is not a JSON object.",
+                                    "Send {\"delay_ms\":N,\"delay_probability\":P,\"draining\":B}."));
     }
-    if (request.path == paths::fault && request.method == "POST") {
-        auto body = nlohmann::json::parse(request.body, nullptr, false);
-        if (!body.is_object()) {
-            reply(error_response(error(error_kind::bad_request, "fault body is not a JSON object.",
-                                       "Send {\"delay_ms\":N,\"delay_probability\":P,\"draining\":B}.")));
-            return;
-        }
-        m_faults.delay_ms = body.value("delay_ms", std::int64_t{0});
-        m_faults.delay_probability = body.value("delay_probability", 0.0);
-        m_faults.draining = body.value("draining", m_faults.draining);
-        reply(json_response(200, R"({"ok":true})"));
-        return;
+    std::lock_guard lock(m_mutex);
+    backend_faults faults;
+    faults.delay_ms = body.value("delay_ms", std::int64_t{0});
+    faults.delay_probability = body.value("delay_probability", 0.0);
+    faults.shed_probability = body.value("shed_probability", 0.0);
+    faults.garble_probability = body.value("garble_probability", 0.0);
+    faults.lost_reply_probability = body.value("lost_reply_probability", 0.0);
+    faults.draining = body.value("draining", m_faults.draining);
+    faults.health_lies = body.value("health_lies", false);
+    m_faults = faults;
+    return json_response(200, R"({"ok":true})");
+}
+
+http_response backend_service::change_versions(nlohmann::json const& body)
+{
+    if (body.is_object() && body.contains("drop")) {
+        drop_version(body["drop"].get<std::int64_t>());
+        return json_response(200, R"({"ok":true})");
     }
-    reply(error_response(
-        error(error_kind::not_found, "no back-end API at '" + request.path + "'.", "Use POST /v1/shard/search.")));
+    try {
+        version_holding version;
+        body.at("index_version").get_to(version.index_version);
+        body.at("shard_count").get_to(version.shard_count);
+        body.at("shards").get_to(version.shards);
+        load_version(version);
+    } catch (nlohmann::json::exception const& failure) {
+        return error_response(error(error_kind::bad_request, std::string("malformed version: ") + failure.what(),
+                                    "Send {\"index_version\":N,\"shard_count\":N,\"shards\":[..]} or {\"drop\":N}."));
+    }
+    return json_response(200, R"({"ok":true})");
 }
 
 void backend_service::search(http_request const& request, reply_fn reply)
 {
-    auto query = parse_message<shard_query>(request.body, "shard query");
-    if (query.service != m_config.service || find_index(query.index_version, query.shard) == nullptr) {
-        reply(
-            error_response(error(error_kind::conflict,
-                                 m_config.name + " does not hold shard " + std::to_string(query.shard) + " of '" +
-                                     query.service + "' at index version " + std::to_string(query.index_version) + ".",
-                                 "Send it to a replica that holds this shard and version.")));
+    job task;
+    task.query = parse_message<shard_query>(request.body, "shard query");
+    task.request = request;
+    task.reply = std::move(reply);
+    auto const& query = task.query;
+    task.index = query.service == m_config.service ? find_index(query.index_version, query.shard) : nullptr;
+    if (task.index == nullptr) {
+        std::string const what = "shard " + std::to_string(query.shard) + " of '" + query.service +
+                                 "' at index version " + std::to_string(query.index_version);
+        {
+            std::lock_guard lock(m_mutex);
+            note(journal_event::received, task);
+            note(journal_event::refused, task);
+        }
+        task.reply(error_response(error(error_kind::conflict, m_config.name + " does not hold " + what + ".",
+                                        "Send it to a replica that holds this shard and version.")));
         return;
     }
+    admit(std::move(task));
+}
+
+void backend_service::write(http_request const& request, reply_fn reply)
+{
+    job task;
+    task.is_write = true;
+    task.write = parse_message<shard_write>(request.body, "shard write");
+    task.request = request;
+    task.reply = std::move(reply);
+    admit(std::move(task));
+}
+
+void backend_service::admit(job task)
+{
+    std::int64_t const deadline_ms = task.is_write ? task.write.deadline_ms : task.query.deadline_ms;
+    auto const now = clock::now();
+    task.deadline = now + milliseconds(deadline_ms > 0 ? deadline_ms : max_deadline_ms);
     std::unique_lock lock(m_mutex);
-    if (m_faults.draining) {
-        lock.unlock();
-        reply(error_response(error(error_kind::not_run, m_config.name + " is draining and takes no new work.",
-                                   "Send it to another replica."),
-                             shed_retry_after_s));
-        return;
-    }
-    if (m_busy >= m_config.slots) {
+    note(journal_event::received, task);
+    bool const draining = m_faults.draining;
+    if (draining || m_busy >= m_config.slots || chance(m_faults.shed_probability)) {
+        note(journal_event::refused, task);
         lock.unlock();
-        reply(error_response(error(error_kind::not_run, m_config.name + " has no free slot.",
-                                   "Send it to another replica or come back later."),
-                             shed_retry_after_s));
+        task.reply(refusal(m_config.name + (draining ? " is draining and takes no new work." : " has no free slot."),
+                           draining));
         return;
     }
     ++m_busy;
-    bool const straggle = std::uniform_real_distribution<double>(0, 1)(m_random) < m_faults.delay_probability;
-    auto const deadline = clock::now() + milliseconds(query.deadline_ms > 0 ? query.deadline_ms : max_deadline_ms);
-    m_jobs.push_back({std::move(query), deadline, std::move(reply), straggle});
+    double const spread = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
+    task.pause_ms = static_cast<std::int64_t>(m_config.work_ms * spread);
+    if (chance(m_faults.delay_probability)) task.pause_ms += m_faults.delay_ms;
+    if (now - m_started < milliseconds(m_config.cold_start_ms)) task.pause_ms += m_config.cold_extra_ms;
+    task.garble = !task.is_write && chance(m_faults.garble_probability);
+    task.lose_reply = chance(m_faults.lost_reply_probability);
+    m_jobs.push_back(std::move(task));
     lock.unlock();
     m_ready.notify_one();
 }
 
+bool backend_service::pause(job const& task, time_point started)
+{
+    auto const until = std::min(task.deadline, started + milliseconds(task.pause_ms));
+    while (clock::now() < until) {
+        if (task.request.is_cancelled()) return false;
+        std::this_thread::sleep_until(std::min(until, clock::now() + cancel_check));
+    }
+    return !task.request.is_cancelled();
+}
+
 void backend_service::work()
 {
     while (true) {
@@ -121,31 +275,45 @@
         if (m_stopping && m_jobs.empty()) return;
         job task = std::move(m_jobs.front());
         m_jobs.pop_front();
-        std::int64_t const delay = task.straggle ? m_faults.delay_ms : 0;
         lock.unlock();
-        if (delay > 0) std::this_thread::sleep_until(std::min(task.deadline, clock::now() + milliseconds(delay)));
         run(task);
-        lock.lock();
-        --m_busy;
     }
 }
 
 void backend_service::run(job& task)
 {
-    if (clock::now() >= task.deadline) {
-        task.reply(error_response(error(error_kind::timeout, "the deadline passed before the search ended.",
-                                        "Give the query a longer deadline.")));
-        return;
+    bool const wanted = pause(task, clock::now());
+    bool const in_time = clock::now() < task.deadline;
+    http_response response;
+    if (!wanted || !in_time) {
+        response = error_response(error(error_kind::timeout, "the deadline passed or the caller left before the end.",
+                                        "Give the request a longer deadline."));
+    } else if (task.is_write) {
+        response = json_response(200, nlohmann::json{{"ran", task.write.idempotency_key}}.dump());
+    } else {
+        response = task.garble ? json_response(200, garbled_body) : search_answer(task);
     }
-    auto const* index = find_index(task.query.index_version, task.query.shard);
+    {
+        // The slot is free and the journal complete before the answer leaves, so a caller that has the answer
+        // finds it in the journal.
+        std::lock_guard lock(m_mutex);
+        if (wanted && in_time) note(journal_event::ran, task);
+        --m_busy;
+    }
+    if (!task.lose_reply) task.reply(std::move(response));
+}
+
+http_response backend_service::search_answer(job const& task) const
+{
+    auto const& query = task.query;
     shard_answer answer;
-    answer.request_id = task.query.request_id;
-    answer.service = task.query.service;
-    answer.shard = task.query.shard;
-    answer.index_version = task.query.index_version;
+    answer.request_id = query.request_id;
+    answer.service = query.service;
+    answer.shard = query.shard;
+    answer.index_version = query.index_version;
     answer.backend = m_config.name;
-    answer.hits = index->search(task.query.terms, static_cast<std::size_t>(task.query.k));
-    task.reply(json_response(200, nlohmann::json(answer).dump()));
+    answer.hits = task.index->search(query.terms, static_cast<std::size_t>(query.k));
+    return json_response(200, nlohmann::json(answer).dump());
 }
 
 } // namespace cornelspring
--- a/src/backend/main.cpp
+++ b/src/backend/main.cpp
@@ -24,6 +24,12 @@
      "folder of the fortunes package"},
     {"corpus.max_documents", setting_type::integer, setting_value{std::int64_t{0}}, 0, 10000000,
      "documents read (0: all)"},
+    {"work_ms", setting_type::floating, setting_value{0.0}, 0, 60000,
+     "mean time of one request on top of the search itself, in milliseconds"},
+    {"cold_start.ms", setting_type::integer, setting_value{std::int64_t{0}}, 0, 600000,
+     "time after the start during which requests take longer, in milliseconds"},
+    {"cold_start.extra_ms", setting_type::integer, setting_value{std::int64_t{0}}, 0, 60000,
+     "how much longer they take, in milliseconds"},
     {"drain_ms", setting_type::integer, setting_value{std::int64_t{5000}}, 0, 600000,
      "longest wait for requests in flight at SIGTERM, in milliseconds"},
 };
@@ -39,16 +45,23 @@
     backend_config holdings;
     holdings.name = config.text("name");
     holdings.service = config.text("service");
-    holdings.shard_count = static_cast<std::int32_t>(config.integer("shard_count"));
+    version_holding held;
+    held.shard_count = static_cast<std::int32_t>(config.integer("shard_count"));
     for (auto shard : config.integer_list("shards")) {
-        if (shard >= holdings.shard_count) {
+        if (shard >= held.shard_count) {
             throw error(error_kind::bad_settings, "shard " + std::to_string(shard) + " is not below shard_count.",
                         "List only shards from 0 to shard_count - 1.");
         }
-        holdings.shards.push_back(static_cast<std::int32_t>(shard));
+        held.shards.push_back(static_cast<std::int32_t>(shard));
+    }
+    for (auto version : config.integer_list("index_versions")) {
+        held.index_version = version;
+        holdings.holding.push_back(held);
     }
-    holdings.versions = config.integer_list("index_versions");
     holdings.slots = static_cast<std::size_t>(config.integer("slots"));
+    holdings.work_ms = config.floating("work_ms");
+    holdings.cold_start_ms = config.integer("cold_start.ms");
+    holdings.cold_extra_ms = config.integer("cold_start.extra_ms");
     auto const corpus =
         load_corpus(config.text("corpus.directory"), static_cast<std::size_t>(config.integer("corpus.max_documents")));
     backend_service service(holdings, corpus);
--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -1,6 +1,7 @@
 /** @file errors.cpp Error kinds, their names and HTTP statuses; endpoints and small file helpers. */
 #include <cornelspring/base.hpp>
 
+#include <atomic>
 #include <charconv>
 #include <cstdio>
 #include <fstream>
@@ -47,6 +48,20 @@
 {
 }
 
+namespace {
+/** Violations counted by check_invariant(). */
+std::atomic<std::uint64_t> g_violations{0};
+} // namespace
+
+void check_invariant(bool holds, char const* what)
+{
+    if (holds) return;
+    ++g_violations;
+    LOG4CPLUS_ERROR(get_logger("invariant"), "violated: " << what);
+}
+
+std::uint64_t invariant_violations() { return g_violations; }
+
 std::string endpoint::to_string() const
 {
     if (host.find(':') != std::string::npos) {
--- /dev/null
+++ b/src/coordination/backend_tracker.cpp
@@ -0,0 +1,149 @@
+/** @file backend_tracker.cpp What an entry node has observed of the back ends, and the replica policies built on it. */
+#include <cornelspring/coordination.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace cornelspring {
+namespace {
+
+/** Samples kept per service for hedge delays. */
+constexpr std::size_t window_size = 1024;
+/** Samples needed before a quantile is given. */
+constexpr std::size_t window_minimum = 32;
+/** A quantile is computed anew after this many samples. */
+constexpr std::size_t window_refresh = 128;
+/** Largest doubling of the first ejection. */
+constexpr int max_eject_doublings = 10;
+
+} // namespace
+
+bool token_budget::spend()
+{
+    if (m_tokens < 1.0) return false;
+    m_tokens -= 1.0;
+    return true;
+}
+
+void latency_window::add(std::chrono::microseconds latency)
+{
+    if (m_samples.size() < window_size) {
+        m_samples.push_back(latency);
+    } else {
+        m_samples[m_next] = latency;
+        m_next = (m_next + 1) % window_size;
+    }
+    ++m_since_sort;
+}
+
+std::optional<std::chrono::microseconds> latency_window::quantile(double quantile)
+{
+    if (m_samples.size() < window_minimum) return std::nullopt;
+    if (!m_cached || m_since_sort >= window_refresh) {
+        auto sorted = m_samples;
+        auto const place = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size() - 1));
+        auto const nth = sorted.begin() + static_cast<std::ptrdiff_t>(place);
+        std::nth_element(sorted.begin(), nth, sorted.end());
+        m_cached = *nth;
+        m_since_sort = 0;
+    }
+    return m_cached;
+}
+
+void backend_tracker::on_sent(std::string const& name) { ++m_backends[name].outstanding; }
+
+void backend_tracker::on_ended(std::string const& name, attempt_outcome outcome, std::chrono::microseconds took,
+                               time_point now)
+{
+    auto& seen = m_backends[name];
+    seen.outstanding = std::max(0, seen.outstanding - 1);
+    switch (outcome) {
+    case attempt_outcome::answered:
+    case attempt_outcome::overtaken: {
+        auto const sample = static_cast<double>(took.count());
+        double const weight = m_options.latency_weight;
+        // A cancelled request only shows that the latency is at least this, so it never lowers the average.
+        if (outcome == attempt_outcome::overtaken && sample < seen.latency_us) return;
+        seen.latency_us = seen.latency_us == 0 ? sample : (1 - weight) * seen.latency_us + weight * sample;
+        if (outcome == attempt_outcome::answered) seen.failures = 0;
+        return;
+    }
+    case attempt_outcome::refused: return;
+    case attempt_outcome::shed: seen.shed_until = now + m_options.shed_hold; return;
+    case attempt_outcome::draining: seen.drain_until = now + m_options.drain_hold; return;
+    case attempt_outcome::failed: {
+        if (++seen.failures < m_options.failures_to_eject) return;
+        int const doublings = std::min(seen.failures - m_options.failures_to_eject, max_eject_doublings);
+        seen.eject_until = now + std::min(m_options.eject_base * (1 << doublings), m_options.eject_max);
+        return;
+    }
+    }
+}
+
+bool backend_tracker::takes_work(replica const& target, time_point now) const
+{
+    if (!m_leaving.empty() && m_leaving.count(target.address.to_string()) != 0) return false;
+    auto const found = m_backends.find(target.name);
+    return found == m_backends.end() || found->second.drain_until <= now;
+}
+
+bool backend_tracker::healthy(replica const& target, time_point now) const
+{
+    auto const found = m_backends.find(target.name);
+    return found == m_backends.end() || (found->second.eject_until <= now && found->second.shed_until <= now);
+}
+
+double backend_tracker::cost(replica const& target) const
+{
+    using std::chrono::microseconds;
+    auto const assumed = static_cast<double>(microseconds(m_options.initial_latency).count());
+    auto const found = m_backends.find(target.name);
+    if (found == m_backends.end()) return assumed;
+    auto const& seen = found->second;
+    double const latency = seen.latency_us == 0 ? assumed : seen.latency_us;
+    // Requests beyond the slots wait for one to end, so the expected wait grows with the queue per slot.
+    double const queued = static_cast<double>(seen.outstanding) / std::max(1, target.slots);
+    return latency * (1.0 + queued);
+}
+
+replica_chooser make_random_chooser(std::uint64_t seed)
+{
+    auto random = std::make_shared<std::mt19937_64>(seed);
+    return [random](std::vector<replica> const& candidates, std::vector<bool> const& tried,
+                    time_point) -> std::optional<std::size_t> {
+        std::vector<std::size_t> open;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (!tried[i]) open.push_back(i);
+        }
+        if (open.empty()) return std::nullopt;
+        return open[std::uniform_int_distribution<std::size_t>(0, open.size() - 1)(*random)];
+    };
+}
+
+replica_chooser make_adaptive_chooser(backend_tracker const& tracker, std::uint64_t seed)
+{
+    auto random = std::make_shared<std::mt19937_64>(seed);
+    return [&tracker, random](std::vector<replica> const& candidates, std::vector<bool> const& tried,
+                              time_point now) -> std::optional<std::size_t> {
+        std::optional<std::size_t> best;
+        bool best_healthy = false;
+        double best_cost = std::numeric_limits<double>::max();
+        // Starting at a random place spreads ties over the replicas.
+        std::size_t const start = candidates.empty() ? 0 : (*random)() % candidates.size();
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            std::size_t const place = (start + i) % candidates.size();
+            auto const& target = candidates[place];
+            if (tried[place] || !tracker.takes_work(target, now)) continue;
+            bool const healthy = tracker.healthy(target, now);
+            double const cost = tracker.cost(target);
+            bool const better = !best || (healthy && !best_healthy) || (healthy == best_healthy && cost < best_cost);
+            if (!better) continue;
+            best = place;
+            best_healthy = healthy;
+            best_cost = cost;
+        }
+        return best;
+    };
+}
+
+} // namespace cornelspring
--- a/src/coordination/config_watcher.cpp
+++ b/src/coordination/config_watcher.cpp
@@ -14,9 +14,12 @@
 {
 }
 
-config_watcher::~config_watcher()
+config_watcher::~config_watcher() { stop(); }
+
+void config_watcher::stop()
 {
-    m_stopping = true;
+    if (m_stopping.exchange(true)) return;
+    m_store.interrupt();
     if (m_thread.joinable()) m_thread.join();
 }
 
@@ -46,7 +49,9 @@
                 need_full_read = true;
                 continue;
             }
-            std::int64_t last = after;
+            // The reply's revision says that there is no other change up to it, so the next watch starts there:
+            // otherwise writes outside this prefix would push our start out of the store's history.
+            std::int64_t last = std::max(after, batch.revision);
             for (auto const& event : batch.events)
                 last = std::max(last, event.kv.mod_revision);
             if (m_view.apply(batch.events, last)) {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -30,9 +30,10 @@
 
 void membership::register_self()
 {
-    m_lease = m_store.grant_lease(m_ttl_s);
+    if (m_lease == 0) m_lease = m_store.grant_lease(m_ttl_s);
     nlohmann::json const body{{"address", m_self.address}, {"zone", m_self.zone}};
     m_store.put(std::string(member_prefix) + m_self.id, body.dump(), m_lease);
+    m_registered = true;
     LOG4CPLUS_INFO(get_logger("entry.membership"), "registered as " << m_self.id << " under lease " << m_lease);
 }
 
@@ -44,14 +45,17 @@
     while (!m_stopping) {
         if (clock::now() >= next) {
             try {
-                if (m_lease == 0) {
+                if (!m_registered) {
                     register_self();
                 } else {
                     m_store.keep_alive(m_lease);
                 }
             } catch (error const& failure) {
                 LOG4CPLUS_WARN(get_logger("entry.membership"), "heartbeat failed: " << failure.what());
-                if (failure.kind() == error_kind::not_found) m_lease = 0;
+                if (failure.kind() == error_kind::not_found) {
+                    m_lease = 0;
+                    m_registered = false;
+                }
             }
             next = clock::now() + period;
         }
--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -1,105 +1,136 @@
-/** @file scatter_gather.cpp Fan-out to every shard at one pinned index version, retries, and the merge. */
+/** @file scatter_gather.cpp Fan-out to every shard at one pinned index version, retries, hedges, and the merge. */
 #include <cornelspring/coordination.hpp>
 
+#include <algorithm>
+
 namespace cornelspring {
 namespace {
 
 /** Seconds a caller is told to wait when no shard could answer. */
 constexpr int no_answer_retry_after_s = 1;
+/** HTTP status of a back end that does not hold the shard at the pinned version. */
+constexpr int status_not_held = 409;
+/** HTTP status of a back end that sheds load or drains. */
+constexpr int status_unavailable = 503;
+
+using std::chrono::microseconds;
+
+/** @return how a shard request that gave no usable answer ended, for the tracker. */
+attempt_outcome classify_failure(client_result const& result)
+{
+    if (result.outcome != send_outcome::answered) return attempt_outcome::failed;
+    if (result.response.status != status_unavailable) return attempt_outcome::failed;
+    return result.response.header(draining_header).empty() ? attempt_outcome::shed : attempt_outcome::draining;
+}
 
 } // namespace
 
+/** One request of a shard that is still open. */
+struct scatter_gather::attempt {
+    std::size_t candidate = 0; ///< Replica it went to.
+    call_id call;              ///< Transport call.
+    time_point sent;           ///< When it was sent.
+};
+
 /** Per-query state; touched only on the client thread. */
 struct scatter_gather::query_state {
     /** One shard of the query. */
     struct shard_slot {
-        std::vector<replica> candidates; ///< Replicas holding the pinned version.
-        std::vector<bool> tried;         ///< Which candidates were tried.
-        std::int32_t tries = 0;          ///< Requests sent for this shard.
-        bool settled = false;            ///< Answered, or given up.
-        bool answered = false;           ///< Its hits are in.
-        std::vector<hit> hits;           ///< Its hits.
+        std::vector<replica> const* candidates = nullptr; ///< Replicas holding the pinned version.
+        std::vector<bool> tried;                          ///< Which were tried in this round.
+        std::vector<attempt> open;                        ///< Requests not yet ended.
+        std::int32_t tries = 0;                           ///< Requests sent for this shard.
+        bool waiting = false;                             ///< A later retry is scheduled.
+        bool may_repeat = false;                          ///< A replica failed in a way that may pass.
+        bool settled = false;                             ///< Answered, or given up.
+        bool answered = false;                            ///< Its hits are in.
+        std::int64_t version = 0;                         ///< Index version its hits come from.
+        std::vector<hit> hits;                            ///< Its hits.
     };
 
     query_request query;                             ///< The caller's request.
     std::shared_ptr<config_snapshot const> snapshot; ///< Configuration routed by.
     std::int64_t version = 0;                        ///< Pinned index version.
+    std::uint64_t generation = 0;                    ///< Raised when the query starts over.
     time_point deadline;                             ///< When the answer is due.
     std::vector<shard_slot> shards;                  ///< Shards by number.
     std::size_t unsettled = 0;                       ///< Shards not yet settled.
-    std::int32_t dispatched = 0;                     ///< Shard requests sent.
-    std::int32_t reached = 0;                        ///< Shard requests that left this process (may have run).
+    bool version_missing = false;                    ///< A replica no longer held the pinned version.
+    gather_result counts;                            ///< Counters of the result.
     bool finished = false;                           ///< done was called.
     std::function<void(gather_result)> done;         ///< Result sink.
 };
 
-replica_chooser make_rotating_chooser()
-{
-    auto counter = std::make_shared<std::size_t>(0);
-    return [counter](std::vector<replica> const& candidates, std::vector<bool> const& tried,
-                     time_point) -> std::optional<std::size_t> {
-        std::size_t const start = (*counter)++;
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            std::size_t const pick = (start + i) % candidates.size();
-            if (!tried[pick]) return pick;
-        }
-        return std::nullopt;
-    };
-}
-
-scatter_gather::scatter_gather(h2_client& client, gather_options options, replica_chooser chooser)
-    : m_client(client), m_options(options), m_chooser(std::move(chooser))
+scatter_gather::scatter_gather(h2_client& client, gather_options options, replica_chooser chooser,
+                               backend_tracker& tracker, snapshot_source current)
+    : m_client(client), m_options(options), m_chooser(std::move(chooser)), m_tracker(tracker),
+      m_current(std::move(current)), m_retry_budget(options.retry_ratio, options.retry_burst),
+      m_hedge_budget(options.hedge_ratio, options.hedge_burst)
 {
 }
 
 void scatter_gather::run(std::shared_ptr<config_snapshot const> snapshot, query_request query,
                          std::function<void(gather_result)> done)
 {
-    auto state = std::make_shared<query_state>();
-    auto const found = snapshot->services.find(query.service);
-    if (found == snapshot->services.end()) {
+    if (snapshot->services.count(query.service) == 0) {
         gather_result result;
         result.failure = error(error_kind::not_found, "service '" + query.service + "' does not exist.",
                                "Ask for a service listed by 'cornel-ctl list service'.");
         done(std::move(result));
         return;
     }
+    auto state = std::make_shared<query_state>();
     milliseconds const budget = query.deadline_ms > 0 ? milliseconds(query.deadline_ms) : m_options.default_deadline;
     state->deadline = clock::now() + budget;
-    state->version = found->second.index_version;
-    state->shards.resize(static_cast<std::size_t>(found->second.shards));
+    state->query = std::move(query);
+    state->done = std::move(done);
+    m_client.post([this, state, snapshot = std::move(snapshot)] { start(state, snapshot); });
+}
+
+void scatter_gather::start(state_ptr const& state, std::shared_ptr<config_snapshot const> snapshot)
+{
+    state->snapshot = std::move(snapshot);
+    auto const& service = state->snapshot->services.at(state->query.service);
+    state->version = service.index_version;
+    state->version_missing = false;
+    state->shards.assign(static_cast<std::size_t>(service.shards), {});
+    state->unsettled = state->shards.size();
+    std::uint64_t const generation = ++state->generation;
     for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
         auto& slot = state->shards[shard];
-        slot.candidates = snapshot->replicas(query.service, static_cast<std::int32_t>(shard), state->version);
-        slot.tried.assign(slot.candidates.size(), false);
+        slot.candidates =
+            &state->snapshot->replicas(state->query.service, static_cast<std::int32_t>(shard), state->version);
+        slot.tried.assign(slot.candidates->size(), false);
     }
-    state->unsettled = state->shards.size();
-    state->query = std::move(query);
-    state->snapshot = std::move(snapshot);
-    state->done = std::move(done);
-    m_client.post([this, state] {
-        for (std::size_t shard = 0; shard < state->shards.size(); ++shard)
-            send_shard(state, shard);
-    });
+    m_retry_budget.earn(state->shards.size());
+    m_hedge_budget.earn(state->shards.size());
+    for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
+        if (!send_shard(state, shard)) settle(state, shard);
+    }
+    maybe_finish(state);
+    if (state->finished || !m_options.hedge) return;
+    m_client.run_at(clock::now() + hedge_delay(state->query.service),
+                    [this, state, generation] { hedge_slow(state, generation); });
 }
 
-void scatter_gather::send_shard(std::shared_ptr<query_state> const& state, std::size_t shard)
+bool scatter_gather::send_shard(state_ptr const& state, std::size_t shard)
 {
     auto& slot = state->shards[shard];
     auto const now = clock::now();
-    std::optional<std::size_t> pick;
-    if (slot.tries < m_options.max_tries_per_shard && now < state->deadline) {
-        pick = m_chooser(slot.candidates, slot.tried, now);
-    }
-    if (!pick) {
-        slot.settled = true;
-        --state->unsettled;
-        maybe_finish(state);
-        return;
-    }
-    slot.tried[*pick] = true;
+    if (slot.tries >= m_options.max_tries_per_shard || now >= state->deadline) return false;
+    auto const pick = m_chooser(*slot.candidates, slot.tried, now);
+    if (!pick) return false;
+    dispatch(state, shard, *pick, now);
+    return true;
+}
+
+void scatter_gather::dispatch(state_ptr const& state, std::size_t shard, std::size_t pick, time_point now)
+{
+    auto& slot = state->shards[shard];
+    slot.tried[pick] = true;
     ++slot.tries;
-    ++state->dispatched;
+    ++state->counts.dispatched;
+    auto const left = std::chrono::duration_cast<milliseconds>(state->deadline - now);
     shard_query message;
     message.request_id = state->query.request_id;
     message.service = state->query.service;
@@ -107,68 +138,189 @@
     message.index_version = state->version;
     message.terms = split_terms(state->query.query);
     message.k = state->query.k;
-    auto const left = std::chrono::duration_cast<milliseconds>(state->deadline - now);
     message.deadline_ms = std::max<std::int64_t>(1, left.count());
     http_request request;
     request.method = "POST";
     request.path = paths::shard_search;
     request.headers.push_back({"content-type", "application/json"});
     request.body = nlohmann::json(message).dump();
-    m_client.submit(slot.candidates[*pick].address, std::move(request), left,
-                    [this, state, shard](client_result result) { on_result(state, shard, std::move(result)); });
+    auto const& target = (*slot.candidates)[pick];
+    m_tracker.on_sent(target.name);
+    auto const call = m_client.submit(target.address, std::move(request), std::max(left, milliseconds(1)),
+                                      [this, state, generation = state->generation, shard, pick](client_result result) {
+                                          on_result(state, generation, shard, pick, std::move(result));
+                                      });
+    slot.open.push_back({pick, call, now});
+}
+
+void scatter_gather::on_result(state_ptr const& state, std::uint64_t generation, std::size_t shard, std::size_t pick,
+                               client_result result)
+{
+    // Requests of a settled shard, a finished query or an earlier generation were cancelled and report nothing.
+    if (state->finished || generation != state->generation) return;
+    auto& slot = state->shards[shard];
+    auto const now = clock::now();
+    auto const found = std::find_if(slot.open.begin(), slot.open.end(),
+                                    [pick](attempt const& item) { return item.candidate == pick; });
+    if (found == slot.open.end()) return;
+    auto const took = std::chrono::duration_cast<microseconds>(now - found->sent);
+    slot.open.erase(found);
+    if (result.outcome != send_outcome::not_sent) ++state->counts.reached;
+    auto const& target = (*slot.candidates)[pick];
+    bool const answered = result.outcome == send_outcome::answered && result.response.status == 200;
+    if (answered && accept_answer(*state, shard, result.response.body)) {
+        m_tracker.on_ended(target.name, attempt_outcome::answered, took, now);
+        m_latencies[state->query.service].add(took);
+        settle(state, shard);
+        maybe_finish(state);
+        return;
+    }
+    bool const not_held = result.outcome == send_outcome::answered && result.response.status == status_not_held;
+    if (not_held) state->version_missing = true;
+    if (!not_held) slot.may_repeat = true;
+    m_tracker.on_ended(target.name, not_held ? attempt_outcome::refused : classify_failure(result), took, now);
+    if (slot.open.empty()) retry_shard(state, shard);
 }
 
-void scatter_gather::on_result(std::shared_ptr<query_state> const& state, std::size_t shard, client_result result)
+bool scatter_gather::accept_answer(query_state& state, std::size_t shard, std::string const& body)
+{
+    try {
+        auto answer = parse_message<shard_answer>(body, "shard answer");
+        // An answer counts only if it is for this request, this shard and the pinned version.
+        bool const own = answer.request_id == state.query.request_id &&
+                         answer.shard == static_cast<std::int32_t>(shard) && answer.index_version == state.version &&
+                         answer.service == state.query.service;
+        if (!own) return false;
+        auto& slot = state.shards[shard];
+        slot.hits = std::move(answer.hits);
+        slot.version = answer.index_version;
+        slot.answered = true;
+        return true;
+    } catch (error const&) {
+        return false; // A malformed answer is no answer: the shard is tried on another replica.
+    }
+}
+
+void scatter_gather::retry_shard(state_ptr const& state, std::size_t shard)
 {
-    if (state->finished) return;
-    if (result.outcome != send_outcome::not_sent) ++state->reached;
     auto& slot = state->shards[shard];
-    if (result.outcome == send_outcome::answered && result.response.status == 200) {
-        try {
-            auto answer = parse_message<shard_answer>(result.response.body, "shard answer");
-            // An answer counts only if it is for this request, this shard and the pinned version.
-            bool const own = answer.request_id == state->query.request_id &&
-                             answer.shard == static_cast<std::int32_t>(shard) &&
-                             answer.index_version == state->version && answer.service == state->query.service;
-            if (own) {
-                slot.hits = std::move(answer.hits);
-                slot.answered = true;
-                slot.settled = true;
-                --state->unsettled;
-                maybe_finish(state);
-                return;
-            }
-        } catch (error const&) {
-            // A malformed answer is treated like no answer: the shard is tried on another replica.
+    auto const now = clock::now();
+    bool const allowed = slot.tries < m_options.max_tries_per_shard && now < state->deadline;
+    if (!allowed || !m_retry_budget.spend()) {
+        settle(state, shard);
+        maybe_finish(state);
+        return;
+    }
+    if (send_shard(state, shard)) {
+        ++state->counts.retries;
+        return;
+    }
+    // Every replica was tried. One that shed or lost a connection may serve a moment later.
+    auto const again = now + m_options.retry_backoff * slot.tries;
+    if (!slot.may_repeat || again >= state->deadline) {
+        settle(state, shard);
+        maybe_finish(state);
+        return;
+    }
+    slot.waiting = true;
+    m_client.run_at(again, [this, state, shard, generation = state->generation] {
+        if (state->finished || generation != state->generation) return;
+        auto& later = state->shards[shard];
+        later.waiting = false;
+        later.tried.assign(later.tried.size(), false);
+        if (send_shard(state, shard)) {
+            ++state->counts.retries;
+            return;
         }
+        settle(state, shard);
+        maybe_finish(state);
+    });
+}
+
+microseconds scatter_gather::hedge_delay(std::string const& service)
+{
+    auto const observed = m_latencies[service].quantile(m_options.hedge_quantile);
+    return std::max<microseconds>(m_options.hedge_min, observed.value_or(m_options.hedge_initial));
+}
+
+void scatter_gather::hedge_slow(state_ptr const& state, std::uint64_t generation)
+{
+    if (state->finished || generation != state->generation) return;
+    auto const now = clock::now();
+    auto const delay = hedge_delay(state->query.service);
+    for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
+        auto& slot = state->shards[shard];
+        if (slot.settled || slot.open.empty() || now - slot.open.back().sent < delay) continue;
+        if (slot.tries >= m_options.max_tries_per_shard) continue;
+        auto const pick = m_chooser(*slot.candidates, slot.tried, now);
+        if (!pick) continue;
+        if (!m_hedge_budget.spend()) break;
+        dispatch(state, shard, *pick, now);
+        ++state->counts.hedges;
     }
-    send_shard(state, shard);
+    m_client.run_at(now + delay, [this, state, generation] { hedge_slow(state, generation); });
 }
 
-void scatter_gather::maybe_finish(std::shared_ptr<query_state> const& state)
+void scatter_gather::cancel_rest(query_state& state, std::size_t shard, time_point now)
+{
+    auto& slot = state.shards[shard];
+    for (auto const& item : slot.open) {
+        m_client.cancel(item.call);
+        ++state.counts.reached; // it may have been sent
+        auto const ran = std::chrono::duration_cast<microseconds>(now - item.sent);
+        m_tracker.on_ended((*slot.candidates)[item.candidate].name, attempt_outcome::overtaken, ran, now);
+    }
+    slot.open.clear();
+}
+
+void scatter_gather::settle(state_ptr const& state, std::size_t shard)
+{
+    auto& slot = state->shards[shard];
+    if (slot.settled) return;
+    slot.settled = true;
+    --state->unsettled;
+    cancel_rest(*state, shard, clock::now());
+}
+
+bool scatter_gather::repin(state_ptr const& state)
+{
+    if (!state->version_missing || !m_current || clock::now() >= state->deadline) return false;
+    auto fresh = m_current();
+    auto const service = fresh->services.find(state->query.service);
+    if (service == fresh->services.end() || service->second.index_version == state->version) return false;
+    start(state, std::move(fresh));
+    return true;
+}
+
+void scatter_gather::maybe_finish(state_ptr const& state)
 {
     if (state->finished || state->unsettled > 0) return;
-    state->finished = true;
-    gather_result result;
-    result.dispatched = state->dispatched;
-    result.reached = state->reached;
     query_answer answer;
     answer.request_id = state->query.request_id;
     answer.service = state->query.service;
     answer.index_version = state->version;
     answer.shards_total = static_cast<std::int32_t>(state->shards.size());
     std::vector<std::vector<hit>> lists;
-    for (auto& slot : state->shards) {
-        if (!slot.answered) continue;
+    for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
+        auto& slot = state->shards[shard];
+        if (!slot.answered) {
+            answer.missing.push_back(static_cast<std::int32_t>(shard));
+            continue;
+        }
+        check_invariant(slot.version == state->version, "one snapshot: every shard answered at the pinned version");
         ++answer.shards_answered;
         lists.push_back(std::move(slot.hits));
     }
+    if (!answer.missing.empty() && repin(state)) return;
+    state->finished = true;
     answer.coverage =
         answer.shards_total == 0 ? 0.0 : static_cast<double>(answer.shards_answered) / answer.shards_total;
     answer.hits = merge_top_k(lists, static_cast<std::size_t>(state->query.k));
+    gather_result result = std::move(state->counts);
+    check_invariant(result.reached <= result.dispatched, "requests that reached back ends were dispatched");
     if (answer.shards_answered > 0) {
         result.answer = std::move(answer);
-    } else if (state->reached == 0) {
+    } else if (result.reached == 0) {
         // Every request failed before a byte of it left this process, so no back end ran the query.
         result.failure =
             error(error_kind::not_run, "no replica of '" + state->query.service + "' could take the query.",
--- /dev/null
+++ b/src/coordination/vm_list_watcher.cpp
@@ -0,0 +1,48 @@
+/** @file vm_list_watcher.cpp Reading the platform's VM list for back ends that are leaving. */
+#include <cornelspring/coordination.hpp>
+
+namespace cornelspring {
+namespace {
+
+/** How often the task looks whether it should stop. */
+constexpr milliseconds stop_check{20};
+
+} // namespace
+
+vm_list_watcher::vm_list_watcher(h2_client& client, backend_tracker& tracker, vm_list_options options)
+    : m_client(client), m_tracker(tracker), m_options(std::move(options))
+{
+    m_thread = std::thread([this] {
+        auto next = clock::now();
+        while (!m_stopping) {
+            if (clock::now() >= next) {
+                read_once();
+                next = clock::now() + m_options.interval;
+            }
+            std::this_thread::sleep_for(stop_check);
+        }
+    });
+}
+
+vm_list_watcher::~vm_list_watcher()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+void vm_list_watcher::read_once()
+{
+    http_request request;
+    request.path = paths::vms;
+    auto const reply = m_client.call(m_options.address, std::move(request), m_options.timeout);
+    if (reply.outcome != send_outcome::answered || reply.response.status != 200) return; // keep what is known
+    auto const body = nlohmann::json::parse(reply.response.body, nullptr, false);
+    if (!body.is_object()) return;
+    std::set<std::string> leaving;
+    for (auto const& vm : body.value("vms", nlohmann::json::array())) {
+        if (vm.is_object() && vm.value("state", "live") != "live") leaving.insert(vm.value("address", ""));
+    }
+    m_client.post([this, leaving = std::move(leaving)]() mutable { m_tracker.set_leaving(std::move(leaving)); });
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/coordination/write_coordinator.cpp
@@ -0,0 +1,384 @@
+/** @file write_coordinator.cpp Non-idempotent requests, run at most once through compare-and-swap records. */
+#include <cornelspring/coordination.hpp>
+
+#include <future>
+
+namespace cornelspring {
+namespace {
+
+/** Seconds a caller is told to wait after a refusal. */
+constexpr int refused_retry_after_s = 1;
+/** HTTP status of a back end that sheds load or drains. */
+constexpr int status_unavailable = 503;
+/** HTTP status of a back end that does not hold the shard. */
+constexpr int status_not_held = 409;
+/** A retention lease takes records for this fraction of the retention before the next is granted. */
+constexpr std::int64_t leases_per_retention = 4;
+
+/** @return a failed result. */
+write_result failed(error_kind kind, std::string const& message, std::string const& remedy)
+{
+    write_result result;
+    result.failure = error(kind, message, remedy);
+    result.retry_after_s = refused_retry_after_s;
+    return result;
+}
+
+/** @return the result told to a caller whose request certainly did not run. */
+write_result not_run(std::string const& why)
+{
+    return failed(error_kind::not_run, why + "; the request did not run.",
+                  "Send it again with the same idempotency key after the time in Retry-After.");
+}
+
+/** @return the result told to a caller whose request may have run. */
+write_result outcome_unknown(std::string const& why)
+{
+    return failed(error_kind::outcome_unknown, why + "; whether the request ran is not known.",
+                  "It will not be run again under this key. Ask again later, or check with the service.");
+}
+
+/** @return the hash that tells one request from another under the same key. */
+std::string request_fingerprint(write_request const& request)
+{
+    return fingerprint(nlohmann::json{request.service, request.entity, request.body}.dump());
+}
+
+} // namespace
+
+/** What a claim attempt found. */
+struct write_coordinator::claim_result {
+    bool owned = false;                   ///< The key is ours: the request may be sent.
+    std::optional<write_record> existing; ///< Record of an earlier submission.
+    bool gave_up = false;                 ///< The store did not answer in time; nothing may be sent.
+    std::string value;                    ///< The record as written, when owned.
+};
+
+/** How the back ends dealt with a claimed request. */
+struct write_coordinator::dispatch_result {
+    std::optional<write_answer> answer; ///< It ran.
+    bool maybe_ran = false;             ///< It was sent and no final answer came.
+    bool reached = false;               ///< Some back end received it (and refused it, unless maybe_ran).
+};
+
+write_coordinator::write_coordinator(store_client& store, h2_client& client, replica_chooser chooser,
+                                     backend_tracker& tracker, write_options options)
+    : m_store(store), m_client(client), m_chooser(std::move(chooser)), m_tracker(tracker),
+      m_options(std::move(options)), m_random(std::random_device{}())
+{
+    for (std::size_t i = 0; i < m_options.workers; ++i)
+        m_workers.emplace_back([this] { work(); });
+    m_recorder = std::thread([this] { record_later(); });
+}
+
+write_coordinator::~write_coordinator()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_job_ready.notify_all();
+    m_update_ready.notify_all();
+    for (auto& worker : m_workers)
+        worker.join();
+    m_recorder.join();
+}
+
+void write_coordinator::run(std::shared_ptr<config_snapshot const> snapshot, write_request request,
+                            std::function<void(write_result)> done)
+{
+    auto const service = snapshot->services.find(request.service);
+    if (service == snapshot->services.end()) {
+        done(failed(error_kind::not_found, "service '" + request.service + "' does not exist.",
+                    "Ask for a service listed by 'cornel-ctl list service'."));
+        return;
+    }
+    auto const budget = request.deadline_ms > 0 ? milliseconds(request.deadline_ms) : m_options.default_deadline;
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_stopping && m_jobs.size() < m_options.queue_limit) {
+            m_jobs.push_back({std::move(snapshot), std::move(request), clock::now() + budget, std::move(done)});
+            m_job_ready.notify_one();
+            return;
+        }
+    }
+    done(not_run("this entry node has too many writes waiting"));
+}
+
+std::size_t write_coordinator::unrecorded() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_updates.size();
+}
+
+void write_coordinator::work()
+{
+    while (true) {
+        std::unique_lock lock(m_mutex);
+        m_job_ready.wait(lock, [this] { return m_stopping || !m_jobs.empty(); });
+        if (m_jobs.empty()) return;
+        job task = std::move(m_jobs.front());
+        m_jobs.pop_front();
+        lock.unlock();
+        task.done(execute(task));
+    }
+}
+
+void write_coordinator::step(write_step where) const
+{
+    if (m_options.at_step) m_options.at_step(where);
+}
+
+std::string write_coordinator::new_claim()
+{
+    std::lock_guard lock(m_mutex);
+    return m_options.owner + "/" + std::to_string(m_random());
+}
+
+write_result write_coordinator::execute(job& task)
+{
+    auto const& request = task.request;
+    write_record mine;
+    mine.claim = new_claim();
+    mine.owner = m_options.owner;
+    mine.fingerprint = request_fingerprint(request);
+    std::string const key = std::string(write_prefix) + request.service + "/" + request.idempotency_key;
+    step(write_step::before_claim);
+    auto const claimed = claim(key, mine, task.deadline);
+    if (claimed.gave_up) return not_run("the platform store does not answer");
+    if (claimed.existing) return replay(*claimed.existing, request);
+    auto release = [&] {
+        write_record released = mine;
+        released.state = write_state::released;
+        update_record({key, claimed.value, nlohmann::json(released).dump()});
+    };
+    step(write_step::before_dispatch);
+    if (clock::now() >= task.deadline) {
+        release();
+        return not_run("the deadline passed before the request was sent");
+    }
+    auto const sent = dispatch(task);
+    step(write_step::before_record);
+    if (sent.answer) {
+        mine.state = write_state::done;
+        mine.result = sent.answer->result;
+        mine.backend = sent.answer->backend;
+        update_record({key, claimed.value, nlohmann::json(mine).dump()});
+        write_result result;
+        result.answer = sent.answer;
+        return result;
+    }
+    if (sent.maybe_ran) {
+        mine.state = write_state::unknown;
+        update_record({key, claimed.value, nlohmann::json(mine).dump()});
+        return outcome_unknown("the back end did not confirm the request");
+    }
+    release();
+    if (!sent.reached) return not_run("no back end of '" + request.service + "' could be reached");
+    return failed(error_kind::unavailable, "every back end of '" + request.service + "' refused the request.",
+                  "Send it again with the same idempotency key after the time in Retry-After.");
+}
+
+write_coordinator::claim_result write_coordinator::claim(std::string const& key, write_record const& mine,
+                                                         time_point deadline)
+{
+    claim_result result;
+    result.value = nlohmann::json(mine).dump();
+    auto const until = std::min(deadline, clock::now() + m_options.claim_wait);
+    std::int64_t expected = 0; // the record must not exist
+    bool maybe_written = false;
+    while (clock::now() < until) {
+        try {
+            txn_request request;
+            request.compares.push_back({key, compare_target::mod_revision, expected, ""});
+            request.success.push_back({txn_op::kind::put, key, "", result.value, retention_lease()});
+            request.failure.push_back({txn_op::kind::range, key, "", "", 0});
+            auto const outcome = m_store.txn(request);
+            if (outcome.succeeded) {
+                result.owned = true;
+                return result;
+            }
+            if (outcome.range_kvs.empty()) {
+                expected = 0; // a released record ran out in between
+                continue;
+            }
+            auto const& found = outcome.range_kvs.front();
+            auto const record = nlohmann::json::parse(found.value).get<write_record>();
+            if (record.claim == mine.claim && record.state == write_state::claimed) {
+                result.owned = true; // an earlier try took effect and its reply was lost
+                return result;
+            }
+            if (record.state != write_state::released) {
+                result.existing = record;
+                return result;
+            }
+            expected = found.mod_revision;
+        } catch (error const& failure) {
+            if (failure.kind() == error_kind::outcome_unknown) maybe_written = true;
+            if (failure.kind() == error_kind::not_found) {
+                std::lock_guard lock(m_mutex);
+                m_lease = 0; // the retention lease lapsed: take a new one
+            }
+            std::this_thread::sleep_for(m_options.retry_delay);
+        }
+    }
+    result.gave_up = true;
+    if (maybe_written) {
+        // The claim may be in the store, or may still arrive there. A released record in its place lets the
+        // caller's next submission claim the key, and makes a late claim fail its compare.
+        write_record released = mine;
+        released.state = write_state::released;
+        update_record({key, result.value, nlohmann::json(released).dump()});
+    }
+    return result;
+}
+
+std::optional<std::size_t> write_coordinator::pick(std::vector<replica> const& candidates,
+                                                   std::vector<bool> const& tried)
+{
+    std::promise<std::optional<std::size_t>> picked;
+    auto future = picked.get_future();
+    m_client.post([&] { picked.set_value(m_chooser(candidates, tried, clock::now())); });
+    return future.get();
+}
+
+void write_coordinator::note(std::string const& backend, std::optional<attempt_outcome> outcome,
+                             std::chrono::microseconds took)
+{
+    m_client.post([this, backend, outcome, took] {
+        if (outcome) {
+            m_tracker.on_ended(backend, *outcome, took, clock::now());
+        } else {
+            m_tracker.on_sent(backend);
+        }
+    });
+}
+
+write_coordinator::dispatch_result write_coordinator::dispatch(job const& task)
+{
+    auto const& request = task.request;
+    auto const& service = task.snapshot->services.at(request.service);
+    auto const shard = shard_of_entity(request.entity, service.shards);
+    auto const& candidates = task.snapshot->replicas(request.service, shard, service.index_version);
+    std::vector<bool> tried(candidates.size(), false);
+    dispatch_result result;
+    while (auto const chosen = pick(candidates, tried)) {
+        tried[*chosen] = true;
+        auto const& target = candidates[*chosen];
+        auto const begun = clock::now();
+        auto const left = std::chrono::duration_cast<milliseconds>(task.deadline - begun);
+        if (left.count() <= 0) return result;
+        http_request message;
+        message.method = "POST";
+        message.path = paths::shard_write;
+        message.headers.push_back({"content-type", "application/json"});
+        message.body =
+            nlohmann::json(shard_write{request.idempotency_key, request.service, shard, request.body, left.count()})
+                .dump();
+        note(target.name, std::nullopt, {});
+        auto const reply = m_client.call(target.address, std::move(message), left);
+        auto const took = std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - begun);
+        if (reply.outcome == send_outcome::answered && reply.response.status == 200) {
+            note(target.name, attempt_outcome::answered, took);
+            result.reached = true;
+            result.answer =
+                write_answer{request.idempotency_key, request.service, reply.response.body, target.name, false};
+            return result;
+        }
+        if (reply.outcome == send_outcome::not_sent) {
+            note(target.name, attempt_outcome::failed, took);
+            continue; // it never left this process: another replica may run it
+        }
+        result.reached = true;
+        bool const refused = reply.outcome == send_outcome::answered &&
+                             (reply.response.status == status_unavailable || reply.response.status == status_not_held);
+        if (!refused) {
+            note(target.name, attempt_outcome::failed, took);
+            result.maybe_ran = true;
+            return result;
+        }
+        bool const draining = !reply.response.header(draining_header).empty();
+        note(target.name, draining ? attempt_outcome::draining : attempt_outcome::shed, took);
+    }
+    return result;
+}
+
+write_result write_coordinator::replay(write_record const& record, write_request const& request) const
+{
+    if (record.fingerprint != request_fingerprint(request)) {
+        return failed(error_kind::conflict, "idempotency key '" + request.idempotency_key + "' names another request.",
+                      "Use a new key for a new request.");
+    }
+    if (record.state == write_state::done) {
+        write_result result;
+        result.answer = write_answer{request.idempotency_key, request.service, record.result, record.backend, true};
+        return result;
+    }
+    if (record.state == write_state::claimed) {
+        return outcome_unknown("another submission of this key is in progress, or its entry node was lost");
+    }
+    return outcome_unknown("an earlier submission of this key was not confirmed");
+}
+
+std::int64_t write_coordinator::retention_lease()
+{
+    auto const now = clock::now();
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_lease != 0 && now < m_lease_renew) return m_lease;
+    }
+    auto const granted = m_store.grant_lease(m_options.retention_s + m_options.retention_s / leases_per_retention);
+    std::lock_guard lock(m_mutex);
+    m_lease = granted;
+    m_lease_renew = now + std::chrono::seconds(std::max<std::int64_t>(1, m_options.retention_s / leases_per_retention));
+    return m_lease;
+}
+
+bool write_coordinator::try_update(record_update const& change)
+{
+    std::int64_t const lease = retention_lease();
+    txn_request request;
+    request.compares.push_back({change.key, compare_target::value, 0, change.from});
+    request.success.push_back({txn_op::kind::put, change.key, "", change.to, lease});
+    request.failure.push_back({txn_op::kind::range, change.key, "", "", 0});
+    auto const outcome = m_store.txn(request);
+    if (outcome.succeeded || !outcome.range_kvs.empty()) return true; // written, or written before
+    // The claim never arrived. Leave the new state, so that the claim cannot take effect later.
+    txn_request create;
+    create.compares.push_back({change.key, compare_target::mod_revision, 0, ""});
+    create.success.push_back({txn_op::kind::put, change.key, "", change.to, lease});
+    return m_store.txn(create).succeeded;
+}
+
+void write_coordinator::update_record(record_update change)
+{
+    try {
+        if (try_update(change)) return;
+    } catch (error const& failure) {
+        LOG4CPLUS_WARN(get_logger("entry.write"), "record update postponed: " << failure.what());
+    }
+    std::lock_guard lock(m_mutex);
+    m_updates.push_back(std::move(change));
+    m_update_ready.notify_one();
+}
+
+void write_coordinator::record_later()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_update_ready.wait(lock, [this] { return m_stopping || !m_updates.empty(); });
+        if (m_stopping) return;
+        record_update const change = m_updates.front();
+        lock.unlock();
+        bool written = false;
+        try {
+            written = try_update(change);
+        } catch (error const&) {
+            std::this_thread::sleep_for(m_options.retry_delay);
+        }
+        lock.lock();
+        if (written) m_updates.pop_front();
+    }
+}
+
+} // namespace cornelspring
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -18,9 +18,9 @@
 
 } // namespace
 
-entry_service::entry_service(entry_config config, config_view& view, scatter_gather& gather,
+entry_service::entry_service(entry_config config, config_view& view, scatter_gather& gather, write_coordinator& writes,
                              std::shared_ptr<prometheus::Registry> registry)
-    : m_config(std::move(config)), m_view(view), m_gather(gather), m_registry(std::move(registry)),
+    : m_config(std::move(config)), m_view(view), m_gather(gather), m_writes(writes), m_registry(std::move(registry)),
       m_queries(prometheus::BuildCounter()
                     .Name("cornel_queries_total")
                     .Help("Caller queries by outcome")
@@ -30,11 +30,29 @@
                     .Help("Time from a query's arrival to its answer")
                     .Register(*m_registry)
                     .Add({}, latency_buckets)),
+      m_write_outcomes(prometheus::BuildCounter()
+                           .Name("cornel_writes_total")
+                           .Help("Caller writes by outcome")
+                           .Register(*m_registry)),
       m_shard_requests(prometheus::BuildCounter()
                            .Name("cornel_shard_requests_total")
-                           .Help("Requests that reached back ends, first tries and retries")
+                           .Help("Requests sent to back ends by kind: first, retry, hedge")
+                           .Register(*m_registry)),
+      m_shards_missing(prometheus::BuildCounter()
+                           .Name("cornel_shards_missing_total")
+                           .Help("Shards that did not contribute to an answer")
                            .Register(*m_registry)
-                           .Add({}))
+                           .Add({})),
+      m_revision(prometheus::BuildGauge()
+                     .Name("cornel_config_revision")
+                     .Help("Store revision of the configuration in force")
+                     .Register(*m_registry)
+                     .Add({})),
+      m_violations(prometheus::BuildGauge()
+                       .Name("cornel_invariant_violations")
+                       .Help("Violations of checked invariants since the start; must be 0")
+                       .Register(*m_registry)
+                       .Add({}))
 {
 }
 
@@ -48,12 +66,17 @@
 void entry_service::handle(http_request const& request, reply_fn reply)
 {
     std::string const path = request.path.substr(0, request.path.find('?'));
-    if (path == paths::query) {
+    if (path == paths::query || path == paths::writes) {
         if (request.method != "POST") {
-            reply(error_response(error(error_kind::bad_request, "queries are sent with POST.", "Use POST /v1/query.")));
-            return;
+            reply(error_response(error(error_kind::bad_request, path + " takes POST.", "Use POST " + path + ".")));
+        } else if (m_draining) {
+            (path == paths::query ? m_queries : m_write_outcomes).Add({{"outcome", "draining"}}).Increment();
+            reply(draining_refusal());
+        } else if (path == paths::query) {
+            query(request, std::move(reply));
+        } else {
+            write(request, std::move(reply));
         }
-        query(request, std::move(reply));
         return;
     }
     if (path == paths::entries) {
@@ -61,44 +84,58 @@
         return;
     }
     if (path == paths::health) {
-        auto const snapshot = m_view.current();
-        nlohmann::json body{
-            {"id", m_config.id}, {"draining", m_draining.load()}, {"config_revision", snapshot->revision}};
-        reply(json_response(m_draining ? 503 : 200, body.dump()));
+        reply(health());
         return;
     }
     if (path == paths::metrics) {
-        http_response response;
-        response.headers.push_back({"content-type", "text/plain; version=0.0.4"});
-        response.body = prometheus::TextSerializer().Serialize(m_registry->Collect());
-        reply(std::move(response));
+        reply(metrics_text());
         return;
     }
     reply(error_response(error(error_kind::not_found, "no API at '" + path + "'.",
-                               "Use POST /v1/query, GET /v1/entries, /healthz or /metrics.")));
+                               "Use POST /v1/query, POST /v1/writes, GET /v1/entries, /healthz or /metrics.")));
+}
+
+http_response entry_service::draining_refusal() const
+{
+    auto response = error_response(error(error_kind::not_run, "this entry node is stopping; the request did not run.",
+                                         "Send it to another address from 'entries'."),
+                                   draining_retry_after_s);
+    auto body = nlohmann::json::parse(response.body);
+    body["entries"] = other_entries(false);
+    response.body = body.dump();
+    return response;
+}
+
+http_response entry_service::health() const
+{
+    nlohmann::json const body{
+        {"id", m_config.id}, {"draining", m_draining.load()}, {"config_revision", m_view.current()->revision}};
+    return json_response(m_draining ? 503 : 200, body.dump());
+}
+
+http_response entry_service::metrics_text()
+{
+    m_revision.Set(static_cast<double>(m_view.current()->revision));
+    m_violations.Set(static_cast<double>(invariant_violations()));
+    http_response response;
+    response.headers.push_back({"content-type", "text/plain; version=0.0.4"});
+    response.body = prometheus::TextSerializer().Serialize(m_registry->Collect());
+    return response;
 }
 
 void entry_service::query(http_request const& request, reply_fn reply)
 {
-    if (m_draining) {
-        m_queries.Add({{"outcome", "draining"}}).Increment();
-        auto response = error_response(error(error_kind::not_run, "this entry node is stopping; the query did not run.",
-                                             "Send it to another address from 'entries'."),
-                                       draining_retry_after_s);
-        auto body = nlohmann::json::parse(response.body);
-        body["entries"] = other_entries(false);
-        response.body = body.dump();
-        reply(std::move(response));
-        return;
-    }
     auto message = parse_message<query_request>(request.body, "query");
     if (message.request_id.empty()) message.request_id = new_request_id();
     auto const started = clock::now();
     m_gather.run(m_view.current(), std::move(message), [this, reply = std::move(reply), started](gather_result result) {
         m_latency.Observe(std::chrono::duration<double>(clock::now() - started).count());
-        m_shard_requests.Increment(result.reached);
+        m_shard_requests.Add({{"kind", "first"}}).Increment(result.dispatched - result.retries - result.hedges);
+        m_shard_requests.Add({{"kind", "retry"}}).Increment(result.retries);
+        m_shard_requests.Add({{"kind", "hedge"}}).Increment(result.hedges);
         if (result.answer) {
-            m_queries.Add({{"outcome", result.answer->coverage == 1.0 ? "whole" : "partial"}}).Increment();
+            m_queries.Add({{"outcome", result.answer->missing.empty() ? "whole" : "partial"}}).Increment();
+            m_shards_missing.Increment(static_cast<double>(result.answer->missing.size()));
             reply(json_response(200, nlohmann::json(*result.answer).dump()));
             return;
         }
@@ -107,6 +144,20 @@
     });
 }
 
+void entry_service::write(http_request const& request, reply_fn reply)
+{
+    auto message = parse_message<write_request>(request.body, "write");
+    m_writes.run(m_view.current(), std::move(message), [this, reply = std::move(reply)](write_result result) {
+        if (result.answer) {
+            m_write_outcomes.Add({{"outcome", result.answer->replayed ? "replayed" : "ran"}}).Increment();
+            reply(json_response(200, nlohmann::json(*result.answer).dump()));
+            return;
+        }
+        m_write_outcomes.Add({{"outcome", to_string(result.failure->kind())}}).Increment();
+        reply(error_response(*result.failure, result.retry_after_s));
+    });
+}
+
 std::vector<std::string> entry_service::other_entries(bool include_self) const
 {
     auto const snapshot = m_view.current();
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -25,10 +26,10 @@
 class entry_service {
 public:
     /**
-     * @param config identity. @param view configuration. @param gather fan-out.
+     * @param config identity. @param view configuration. @param gather fan-out. @param writes at-most-once writes.
      * @param registry metrics registry served at /metrics.
      */
-    entry_service(entry_config config, config_view& view, scatter_gather& gather,
+    entry_service(entry_config config, config_view& view, scatter_gather& gather, write_coordinator& writes,
                   std::shared_ptr<prometheus::Registry> registry);
     /** Handles one request. @param request request. @param reply answer sink. */
     void handle(http_request const& request, reply_fn reply);
@@ -38,6 +39,14 @@
 private:
     /** Handles POST /v1/query. */
     void query(http_request const& request, reply_fn reply);
+    /** Handles POST /v1/writes. */
+    void write(http_request const& request, reply_fn reply);
+    /** @return the refusal sent while this node drains: not run, with the other entry addresses. */
+    http_response draining_refusal() const;
+    /** @return the answer to GET /healthz. */
+    http_response health() const;
+    /** @return the metrics as Prometheus text. */
+    http_response metrics_text();
     /** @return the answer to GET /v1/entries. */
     http_response entries() const;
     /** @return the addresses of other live entry nodes, same zone first. */
@@ -45,15 +54,20 @@
     /** @return a new request id. */
     std::string new_request_id();
 
-    entry_config m_config;                              ///< Identity.
-    config_view& m_view;                                ///< Configuration.
-    scatter_gather& m_gather;                           ///< Fan-out.
-    std::shared_ptr<prometheus::Registry> m_registry;   ///< Metrics.
-    prometheus::Family<prometheus::Counter>& m_queries; ///< Queries by outcome.
-    prometheus::Histogram& m_latency;                   ///< Query latency in seconds.
-    prometheus::Counter& m_shard_requests;              ///< Shard requests sent.
-    std::atomic<bool> m_draining{false};                ///< Set at SIGTERM.
-    std::mt19937_64 m_random{std::random_device{}()};   ///< Request ids.
+    entry_config m_config;                                     ///< Identity.
+    config_view& m_view;                                       ///< Configuration.
+    scatter_gather& m_gather;                                  ///< Fan-out.
+    write_coordinator& m_writes;                               ///< At-most-once writes.
+    std::shared_ptr<prometheus::Registry> m_registry;          ///< Metrics.
+    prometheus::Family<prometheus::Counter>& m_queries;        ///< Queries by outcome.
+    prometheus::Histogram& m_latency;                          ///< Query latency in seconds.
+    prometheus::Family<prometheus::Counter>& m_write_outcomes; ///< Writes by outcome.
+    prometheus::Family<prometheus::Counter>& m_shard_requests; ///< Shard requests by kind: first, retry, hedge.
+    prometheus::Counter& m_shards_missing;                     ///< Shards that did not contribute to an answer.
+    prometheus::Gauge& m_revision;                             ///< Configuration revision in force.
+    prometheus::Gauge& m_violations;                           ///< Invariant violations.
+    std::atomic<bool> m_draining{false};                       ///< Set at SIGTERM.
+    std::mt19937_64 m_random{std::random_device{}()};          ///< Request ids.
 };
 
 } // namespace cornelspring
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -27,8 +27,35 @@
      "how long callers keep the list of entry addresses, in seconds"},
     {"query.default_deadline_ms", setting_type::integer, setting_value{std::int64_t{1000}}, 1, 60000,
      "deadline of a query that gives none, in milliseconds"},
-    {"query.max_tries_per_shard", setting_type::integer, setting_value{std::int64_t{3}}, 1, 10,
-     "first try plus retries of one shard on other replicas"},
+    {"query.max_tries_per_shard", setting_type::integer, setting_value{std::int64_t{4}}, 1, 10,
+     "first try, retries and hedges of one shard"},
+    {"query.policy", setting_type::text, setting_value{std::string("adaptive")}, 0, 0,
+     "replica choice: adaptive (measured latency and load) or random (the plain baseline)"},
+    {"query.retry_ratio", setting_type::floating, setting_value{0.2}, 0, 10,
+     "retries allowed per shard request in the long run"},
+    {"query.retry_burst", setting_type::integer, setting_value{std::int64_t{200}}, 0, 100000,
+     "retries allowed at once"},
+    {"query.hedge", setting_type::boolean, setting_value{true}, 0, 0,
+     "send a second request for a shard that is slower than most"},
+    {"query.hedge_quantile", setting_type::floating, setting_value{0.95}, 0.5, 0.999,
+     "a shard slower than this quantile of recent answers is hedged"},
+    {"query.hedge_ratio", setting_type::floating, setting_value{0.05}, 0, 1,
+     "hedges allowed per shard request in the long run"},
+    {"query.hedge_burst", setting_type::integer, setting_value{std::int64_t{50}}, 0, 100000, "hedges allowed at once"},
+    {"write.workers", setting_type::integer, setting_value{std::int64_t{8}}, 1, 256,
+     "non-idempotent requests carried at once"},
+    {"write.queue_limit", setting_type::integer, setting_value{std::int64_t{256}}, 1, 100000,
+     "non-idempotent requests waiting; more are refused as not run"},
+    {"write.default_deadline_ms", setting_type::integer, setting_value{std::int64_t{2000}}, 1, 60000,
+     "deadline of a non-idempotent request that gives none, in milliseconds"},
+    {"write.retention_s", setting_type::integer, setting_value{std::int64_t{86400}}, 60, 31536000,
+     "how long an idempotency key is remembered, in seconds"},
+    {"vm_list.address", setting_type::text, setting_value{std::string("")}, 0, 0,
+     "host:port of the platform's VM list; empty: not read"},
+    {"vm_list.interval_ms", setting_type::integer, setting_value{std::int64_t{1000}}, 100, 60000,
+     "time between reads of the VM list, in milliseconds"},
+    {"max_connections", setting_type::integer, setting_value{std::int64_t{1024}}, 16, 65000,
+     "caller connections accepted"},
     {"max_body_bytes", setting_type::integer, setting_value{std::int64_t{65536}}, 256, 1 << 24,
      "largest caller request body, in bytes"},
     {"ready_file", setting_type::text, setting_value{std::string()}, 0, 0, "file that receives the bound port"},
@@ -36,6 +63,29 @@
      "longest wait for queries in flight at SIGTERM, in milliseconds"},
 };
 
+/** @return the replica policy named @p name. @throw error bad_settings when unknown. */
+replica_chooser make_chooser(std::string const& name, backend_tracker const& tracker)
+{
+    if (name == "adaptive") return make_adaptive_chooser(tracker, std::random_device{}());
+    if (name == "random") return make_random_chooser(std::random_device{}());
+    throw error(error_kind::bad_settings, "query.policy '" + name + "' is unknown.", "Use adaptive or random.");
+}
+
+/** @return the scatter-gather settings. */
+gather_options gather_settings(settings const& config)
+{
+    gather_options options;
+    options.default_deadline = milliseconds(config.integer("query.default_deadline_ms"));
+    options.max_tries_per_shard = static_cast<std::int32_t>(config.integer("query.max_tries_per_shard"));
+    options.retry_ratio = config.floating("query.retry_ratio");
+    options.retry_burst = static_cast<double>(config.integer("query.retry_burst"));
+    options.hedge = config.boolean("query.hedge");
+    options.hedge_quantile = config.floating("query.hedge_quantile");
+    options.hedge_ratio = config.floating("query.hedge_ratio");
+    options.hedge_burst = static_cast<double>(config.integer("query.hedge_burst"));
+    return options;
+}
+
 /** Runs the entry node until SIGTERM. */
 int run(int argc, char const** argv)
 {
@@ -53,16 +103,31 @@
     config_watcher watcher(store, view, milliseconds(config.integer("store.retry_ms")));
     watcher.start();
 
-    gather_options gathering;
-    gathering.default_deadline = milliseconds(config.integer("query.default_deadline_ms"));
-    gathering.max_tries_per_shard = static_cast<std::int32_t>(config.integer("query.max_tries_per_shard"));
-    scatter_gather gather(client, gathering, make_rotating_chooser());
+    backend_tracker tracker;
+    std::string const policy = config.text("query.policy");
+    auto chooser = make_chooser(policy, tracker);
+    scatter_gather gather(client, gather_settings(config), chooser, tracker, [&view] { return view.current(); });
+    write_options writing;
+    writing.owner = config.text("id");
+    writing.workers = static_cast<std::size_t>(config.integer("write.workers"));
+    writing.queue_limit = static_cast<std::size_t>(config.integer("write.queue_limit"));
+    writing.default_deadline = milliseconds(config.integer("write.default_deadline_ms"));
+    writing.retention_s = config.integer("write.retention_s");
+    auto writes = std::make_unique<write_coordinator>(store, client, chooser, tracker, writing);
+    std::unique_ptr<vm_list_watcher> vm_list;
+    if (!config.text("vm_list.address").empty()) {
+        vm_list_options listing;
+        listing.address = parse_endpoint(config.text("vm_list.address"));
+        listing.interval = milliseconds(config.integer("vm_list.interval_ms"));
+        vm_list = std::make_unique<vm_list_watcher>(client, tracker, listing);
+    }
 
     entry_config identity{config.text("id"), config.text("zone"), config.integer("entries_ttl_s")};
-    entry_service service(identity, view, gather, std::make_shared<prometheus::Registry>());
+    entry_service service(identity, view, gather, *writes, std::make_shared<prometheus::Registry>());
     server_options listen;
     listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
     listen.max_body_bytes = static_cast<std::size_t>(config.integer("max_body_bytes"));
+    listen.max_connections = static_cast<std::size_t>(config.integer("max_connections"));
     http_server server(
         listen, [&service](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); });
     server.start();
@@ -75,10 +140,20 @@
 
     wait_for_stop_signal();
     LOG4CPLUS_INFO(logger, "stopping: leaving the member list and draining");
+    auto const drain_until = clock::now() + milliseconds(config.integer("drain_ms"));
     service.begin_drain();
     members.leave();
-    auto const left = server.drain(milliseconds(config.integer("drain_ms")));
-    LOG4CPLUS_INFO(logger, "stopped; queries cut off: " << left);
+    auto const left =
+        server.drain(std::max(milliseconds(0), std::chrono::ceil<milliseconds>(drain_until - clock::now())));
+    while (writes->unrecorded() > 0 && clock::now() < drain_until)
+        std::this_thread::sleep_for(milliseconds(10));
+    LOG4CPLUS_INFO(logger,
+                   "stopped; queries cut off: " << left << ", write outcomes unrecorded: " << writes->unrecorded());
+    // The tasks that wait for store calls end before the client whose thread completes those calls.
+    vm_list.reset();
+    writes.reset();
+    watcher.stop();
+    client.stop();
     return 0;
 }
 
--- a/src/state/config_view.cpp
+++ b/src/state/config_view.cpp
@@ -66,6 +66,7 @@
     fresh->revision = at;
     for (auto const& kv : kvs)
         apply_one(*fresh, {false, kv});
+    fresh->build_routes();
     std::lock_guard lock(m_mutex);
     if (at < m_current->revision) return false;
     m_current = std::move(fresh);
@@ -82,6 +83,7 @@
         apply_one(*next, event);
         changed = true;
     }
+    if (changed) next->build_routes();
     if (at > next->revision) next->revision = at;
     if (!changed && next->revision == m_current->revision) return false;
     m_current = std::move(next);
--- a/src/state/resources.cpp
+++ b/src/state/resources.cpp
@@ -70,16 +70,54 @@
     return out;
 }
 
+/** Refuses an empty shard list and shard numbers out of range. */
+void check_shards(std::vector<std::int32_t> const& shards, std::string const& where)
+{
+    if (shards.empty()) refuse(where + " field 'shards'", "must list at least one shard");
+    for (auto shard : shards) {
+        if (shard < 0 || shard >= max_shards) refuse(where + " field 'shards'", "must hold numbers from 0 to 4095");
+    }
+}
+
+/**
+ * Reads what a back end holds: either 'shards' with 'index_versions' (the same shards at each version), or
+ * 'holdings', a list of {index_version, shards}, for versions cut into different sets of shards.
+ */
+std::vector<holding> holdings_from(nlohmann::json const& spec, std::string const& where)
+{
+    std::vector<holding> out;
+    if (!spec.contains("holdings")) {
+        auto const shards = required<std::vector<std::int32_t>>(spec, "shards", where);
+        for (auto version : field<std::vector<std::int64_t>>(spec, "index_versions", {1}, where))
+            out.push_back({version, shards});
+    } else {
+        if (spec.contains("shards") || spec.contains("index_versions")) {
+            refuse(where + " field 'holdings'", "stands in place of 'shards' and 'index_versions'; keep one form");
+        }
+        if (!spec["holdings"].is_array()) refuse(where + " field 'holdings'", "must be a list");
+        for (auto const& item : spec["holdings"]) {
+            only_fields(item, {"index_version", "shards"}, where + " holding");
+            out.push_back({required<std::int64_t>(item, "index_version", where),
+                           required<std::vector<std::int32_t>>(item, "shards", where)});
+        }
+    }
+    if (out.empty()) refuse(where, "must hold at least one index version");
+    for (auto const& item : out)
+        check_shards(item.shards, where);
+    return out;
+}
+
 backend_spec backend_from(nlohmann::json const& spec, std::string const& where)
 {
-    only_fields(spec, {"address", "service", "zone", "shards", "index_versions", "slots", "connections", "draining"},
-                where);
+    only_fields(
+        spec,
+        {"address", "service", "zone", "shards", "index_versions", "holdings", "slots", "connections", "draining"},
+        where);
     backend_spec out;
     out.address = required<std::string>(spec, "address", where);
     out.service = required<std::string>(spec, "service", where);
     out.zone = field<std::string>(spec, "zone", "", where);
-    out.shards = required<std::vector<std::int32_t>>(spec, "shards", where);
-    out.index_versions = field<std::vector<std::int64_t>>(spec, "index_versions", {1}, where);
+    out.holdings = holdings_from(spec, where);
     out.slots = field<std::int32_t>(spec, "slots", 2, where);
     out.connections = field<std::int32_t>(spec, "connections", 25, where);
     out.draining = field<bool>(spec, "draining", false, where);
@@ -88,10 +126,6 @@
     } catch (error const&) {
         refuse(where + " field 'address'", "must be host:port");
     }
-    if (out.shards.empty()) refuse(where + " field 'shards'", "must list at least one shard");
-    for (auto shard : out.shards) {
-        if (shard < 0 || shard >= max_shards) refuse(where + " field 'shards'", "must hold numbers from 0 to 4095");
-    }
     if (out.slots < 1) refuse(where + " field 'slots'", "must be at least 1");
     if (out.connections < 1) refuse(where + " field 'connections'", "must be at least 1");
     return out;
@@ -110,13 +144,11 @@
         return {{"customer", s->customer}, {"shards", s->shards}, {"index_version", s->index_version}};
     }
     if (auto const* b = std::get_if<backend_spec>(&value.spec)) {
-        return {{"address", b->address},
-                {"service", b->service},
-                {"zone", b->zone},
-                {"shards", b->shards},
-                {"index_versions", b->index_versions},
-                {"slots", b->slots},
-                {"connections", b->connections},
+        auto holdings = nlohmann::json::array();
+        for (auto const& item : b->holdings)
+            holdings.push_back({{"index_version", item.index_version}, {"shards", item.shards}});
+        return {{"address", b->address},  {"service", b->service}, {"zone", b->zone},
+                {"holdings", holdings},   {"slots", b->slots},     {"connections", b->connections},
                 {"draining", b->draining}};
     }
     auto const& r = std::get<route_spec>(value.spec);
@@ -214,18 +246,31 @@
     return resources;
 }
 
-std::vector<replica> config_snapshot::replicas(std::string const& service, std::int32_t shard,
-                                               std::int64_t version) const
+void config_snapshot::build_routes()
 {
-    std::vector<replica> found;
+    routing.clear();
     for (auto const& [name, spec] : backends) {
-        bool const holds =
-            spec.service == service && !spec.draining &&
-            std::find(spec.shards.begin(), spec.shards.end(), shard) != spec.shards.end() &&
-            std::find(spec.index_versions.begin(), spec.index_versions.end(), version) != spec.index_versions.end();
-        if (holds) found.push_back({name, parse_endpoint(spec.address), spec.zone});
+        if (spec.draining) continue;
+        replica const self{name, parse_endpoint(spec.address), spec.zone, spec.slots};
+        for (auto const& held : spec.holdings) {
+            auto& shards = routing[{spec.service, held.index_version}];
+            for (auto shard : held.shards) {
+                auto const place = static_cast<std::size_t>(shard);
+                if (shards.size() <= place) shards.resize(place + 1);
+                shards[place].push_back(self);
+            }
+        }
     }
-    return found;
+}
+
+std::vector<replica> const& config_snapshot::replicas(std::string const& service, std::int32_t shard,
+                                                      std::int64_t version) const
+{
+    static std::vector<replica> const none;
+    auto const found = routing.find({service, version});
+    if (found == routing.end() || shard < 0) return none;
+    auto const place = static_cast<std::size_t>(shard);
+    return place < found->second.size() ? found->second[place] : none;
 }
 
 } // namespace cornelspring
--- a/src/store/store_service.cpp
+++ b/src/store/store_service.cpp
@@ -74,6 +74,10 @@
         reply(set_faults(nlohmann::json::parse(request.body, nullptr, false), now));
         return;
     }
+    if (request.path == paths::vms) {
+        reply(vm_list(request, now));
+        return;
+    }
     if (now < m_faults.outage_until) {
         reply(error_response(error(error_kind::unavailable, "the store is in an outage.", "Call again later."),
                              outage_retry_after_s));
@@ -177,14 +181,35 @@
     }
 }
 
+http_response store_service::vm_list(http_request const& request, time_point now)
+{
+    if (request.method == "POST") {
+        auto const body = nlohmann::json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.contains("address") || !body.contains("state")) {
+            return error_response(error(error_kind::bad_request, "VM body has no address or state.",
+                                        "Send {\"address\":\"host:port\",\"state\":\"live\" or \"leaving\"}."));
+        }
+        auto& vm = m_vms[body["address"].get<std::string>()];
+        vm.before = vm.state.empty() ? "live" : vm.state;
+        vm.state = body["state"].get<std::string>();
+        vm.shown_at = now + m_faults.vm_lag;
+        return json_response(200, R"({"ok":true})");
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (auto const& [address, vm] : m_vms)
+        list.push_back({{"address", address}, {"state", now >= vm.shown_at ? vm.state : vm.before}});
+    return json_response(200, nlohmann::json{{"vms", list}}.dump());
+}
+
 http_response store_service::set_faults(nlohmann::json const& body, time_point now)
 {
     if (body.is_discarded() || !body.is_object()) {
         return error_response(error(error_kind::bad_request, "fault body is not a JSON object.",
-                                    "Send {\"outage_ms\":N,\"delay_ms\":N,\"lose_replies\":N}."));
+                                    "Send {\"outage_ms\":N,\"delay_ms\":N,\"lose_replies\":N,\"vm_lag_ms\":N}."));
     }
     m_faults.outage_until = now + milliseconds(body.value("outage_ms", std::int64_t{0}));
     m_faults.delay = milliseconds(body.value("delay_ms", std::int64_t{0}));
+    m_faults.vm_lag = milliseconds(body.value("vm_lag_ms", std::int64_t{0}));
     m_faults.lose_replies = body.value("lose_replies", std::int64_t{0});
     return json_response(200, R"({"ok":true})");
 }
--- a/src/store/store_service.hpp
+++ b/src/store/store_service.hpp
@@ -13,6 +13,7 @@
 struct store_faults {
     time_point outage_until;       ///< Until then every call is refused with 503.
     milliseconds delay{0};         ///< Every reply is held this long.
+    milliseconds vm_lag{0};        ///< A change of the VM list shows this much later.
     std::int64_t lose_replies = 0; ///< The next this many writes take effect but get no reply.
 };
 
@@ -52,15 +53,25 @@
     void send(reply_fn reply, http_response response, bool is_write, time_point now);
     /** Answers every waiting watch that has events or whose time is up. */
     void answer_watches(time_point now);
+    /** Handles GET and POST /v1/vms: the platform's VM list, which lags by the fault's vm_lag_ms. */
+    http_response vm_list(http_request const& request, time_point now);
     /** Handles POST /v1/fault. */
     http_response set_faults(nlohmann::json const& body, time_point now);
     /** @return the etcd response header. */
     nlohmann::json header() const;
 
-    kv_store m_store;                   ///< Keys and leases.
-    store_faults m_faults;              ///< Faults in force.
-    std::list<waiting_watch> m_watches; ///< Waiting watches.
-    std::list<held_reply> m_held;       ///< Replies held back.
+    /** A VM and its state, shown from a later time on. */
+    struct vm_entry {
+        std::string state;   ///< "live" or "leaving".
+        std::string before;  ///< State shown until then.
+        time_point shown_at; ///< When the new state shows.
+    };
+
+    kv_store m_store;                      ///< Keys and leases.
+    std::map<std::string, vm_entry> m_vms; ///< VM list by address.
+    store_faults m_faults;                 ///< Faults in force.
+    std::list<waiting_watch> m_watches;    ///< Waiting watches.
+    std::list<held_reply> m_held;          ///< Replies held back.
 };
 
 } // namespace cornelspring
--- a/src/transport/h2_server.cpp
+++ b/src/transport/h2_server.cpp
@@ -34,6 +34,7 @@
     std::map<std::int32_t, server_stream> streams; ///< Open streams by id.
     std::string out;                               ///< Serialised frames not yet written.
     bool broken = false;                           ///< Read or write failed; close it.
+    bool silent = false;                           ///< Fault injection: neither read nor written any more.
     std::function<void(std::int32_t)> on_complete; ///< Called when a request has fully arrived.
     std::size_t max_body = 0;                      ///< Body limit in bytes.
 };
@@ -71,10 +72,17 @@
 /** @return the connection passed as nghttp2 user data. */
 server_connection& connection_of(void* user_data) { return *static_cast<server_connection*>(user_data); }
 
+/** Tells the handler of @p stream that nobody waits for its answer any more. */
+void cancel(server_stream& stream)
+{
+    if (stream.request.cancelled != nullptr) stream.request.cancelled->store(true);
+}
+
 int on_begin_headers(nghttp2_session*, nghttp2_frame const* frame, void* user_data)
 {
     if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-        connection_of(user_data).streams[frame->hd.stream_id];
+        auto& stream = connection_of(user_data).streams[frame->hd.stream_id];
+        stream.request.cancelled = std::make_shared<std::atomic<bool>>(false);
     }
     return 0;
 }
@@ -116,7 +124,11 @@
 
 int on_stream_close(nghttp2_session*, int32_t stream_id, uint32_t, void* user_data)
 {
-    connection_of(user_data).streams.erase(stream_id);
+    auto& streams = connection_of(user_data).streams;
+    auto found = streams.find(stream_id);
+    if (found == streams.end()) return 0;
+    cancel(found->second);
+    streams.erase(found);
     return 0;
 }
 
@@ -242,6 +254,7 @@
 
 void h2_server::impl::flush(server_connection& connection)
 {
+    if (connection.silent) return;
     while (true) {
         uint8_t const* data = nullptr;
         ssize_t const count = nghttp2_session_mem_send(connection.session, &data);
@@ -265,6 +278,8 @@
 {
     for (auto it = connections.begin(); it != connections.end();) {
         if (it->second->broken) {
+            for (auto& [stream_id, stream] : it->second->streams)
+                cancel(stream);
             nghttp2_session_del(it->second->session);
             close(it->second->fd);
             it = connections.erase(it);
@@ -299,6 +314,7 @@
         if (listen_fd >= 0 && reading) fds.push_back({listen_fd, POLLIN, 0});
         std::size_t const first_connection = fds.size();
         for (auto& [id, connection] : connections) {
+            if (connection->silent) continue;
             short events = reading ? POLLIN : 0;
             if (!connection->out.empty()) events |= POLLOUT;
             fds.push_back({connection->fd, events, 0});
@@ -376,6 +392,14 @@
 
 std::size_t h2_server::in_flight() const { return m_impl->pending; }
 
+void h2_server::silence_open_connections()
+{
+    post([this] {
+        for (auto& [id, connection] : m_impl->connections)
+            connection->silent = true;
+    });
+}
+
 void h2_server::set_frozen(bool frozen)
 {
     m_impl->frozen = frozen;
--- /dev/null
+++ b/tests/random_run.hpp
@@ -0,0 +1,43 @@
+/** @file random_run.hpp Seeds and length of the randomised runs, and the printing of what they did. */
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cornelspring::testing {
+
+/** @return the number in environment variable @p name, or @p fallback. */
+inline int number_from_environment(char const* name, int fallback)
+{
+    char const* text = std::getenv(name);
+    return text == nullptr ? fallback : std::atoi(text);
+}
+
+/** @return the seeds to run: a fixed list, or 1..CORNEL_RANDOM_SEEDS for a longer run. */
+inline std::vector<std::uint64_t> run_seeds()
+{
+    int const count = number_from_environment("CORNEL_RANDOM_SEEDS", 0);
+    if (count <= 0) return {11, 23, 47};
+    std::vector<std::uint64_t> seeds;
+    for (int seed = 1; seed <= count; ++seed)
+        seeds.push_back(static_cast<std::uint64_t>(seed));
+    return seeds;
+}
+
+/** @return requests started per seed; CORNEL_RANDOM_STEPS sets it. */
+inline int run_steps() { return number_from_environment("CORNEL_RANDOM_STEPS", 150); }
+
+/** Prints how often each outcome came, so that a run that provoked nothing is seen. */
+inline void report_tally(char const* what, std::uint64_t seed, std::map<std::string, int> const& tally)
+{
+    std::cout << what << " seed " << seed << ":";
+    for (auto const& [name, count] : tally)
+        std::cout << " " << name << "=" << count;
+    std::cout << "\n";
+}
+
+} // namespace cornelspring::testing
--- /dev/null
+++ b/tests/test_coordination_contract.cpp
@@ -0,0 +1,246 @@
+/** @file test_coordination_contract.cpp Store client, membership, configuration and leaving back ends under faults. */
+#include "local_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+
+namespace {
+
+/** @return the kind of error that @p call throws, or "none". */
+std::string kind_of(std::function<void()> const& call)
+{
+    try {
+        call();
+    } catch (error const& failure) {
+        return to_string(failure.kind());
+    }
+    return "none";
+}
+
+/** Timeout of store calls in these tests. */
+constexpr milliseconds short_timeout{300};
+
+/** Queries in a row without new work at a leaving back end that count as closed. */
+constexpr int quiet_queries = 50;
+
+/** A store with one client. */
+struct store_bench {
+    local_store store;
+    h2_client transport;
+    store_client client{transport, store.address(), short_timeout};
+};
+
+} // namespace
+
+TEST_CASE("a store write under each fault says whether it took effect")
+{
+    struct fault_case {
+        std::string name;
+        std::function<void(store_bench&)> provoke;
+        std::string kind;
+        bool written;
+    };
+    fault_case const cases[] = {
+        {"no fault", [](store_bench&) {}, "none", true},
+        {"outage",
+         [](store_bench& b) {
+             b.store.fault({{"outage_ms", 60000}});
+         },
+         "unavailable", false},
+        {"reply lost after the write",
+         [](store_bench& b) {
+             b.store.fault({{"lose_replies", 1}});
+         },
+         "outcome_unknown", true},
+        {"slower than the timeout",
+         [](store_bench& b) {
+             b.store.fault({{"delay_ms", 1000}});
+         },
+         "outcome_unknown", true},
+        {"connection silent", [](store_bench& b) { b.store.server.silence_open_connections(); }, "outcome_unknown",
+         false},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        store_bench bench;
+        bench.client.put("warm", "1");
+        item.provoke(bench);
+        std::this_thread::sleep_for(milliseconds(50));
+        CHECK(kind_of([&] { bench.client.put("k", "v"); }) == item.kind);
+        bench.store.fault(nlohmann::json::object());
+        std::this_thread::sleep_for(milliseconds(50));
+        CHECK(bench.client.get("k").first.has_value() == item.written);
+    }
+}
+
+TEST_CASE("a store that is not there is reported as not run")
+{
+    std::uint16_t port = 0;
+    {
+        local_store gone;
+        port = gone.server.port();
+    }
+    h2_client transport;
+    store_client client(transport, {"127.0.0.1", port}, short_timeout);
+    CHECK(kind_of([&] { client.put("k", "v"); }) == "not_run");
+}
+
+TEST_CASE("an entry node is listed again after each membership fault")
+{
+    struct fault_case {
+        std::string name;
+        std::function<void(store_bench&)> provoke; ///< Before the entry node starts.
+    };
+    fault_case const cases[] = {
+        {"no fault", [](store_bench&) {}},
+        {"reply to the lease grant lost",
+         [](store_bench& b) {
+             b.store.fault({{"lose_replies", 1}});
+         }},
+        {"replies to grant and registration lost",
+         [](store_bench& b) {
+             b.store.fault({{"lose_replies", 2}});
+         }},
+        {"store down at the start",
+         [](store_bench& b) {
+             b.store.fault({{"outage_ms", 500}});
+         }},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        store_bench bench;
+        item.provoke(bench);
+        membership members(bench.client, member{"e1", "127.0.0.1:1", "Wien"}, 2);
+        members.start();
+        h2_client other;
+        store_client reader(other, bench.store.address(), milliseconds(2000));
+        auto const listed = [&] {
+            return kind_of([&] { reader.range_prefix(member_prefix); }) == "none" &&
+                   reader.range_prefix(member_prefix).first.size() == 1;
+        };
+        CHECK(eventually(listed));
+        // The lease lapses while its holder cannot renew it (an outage longer than the lease), then it comes back.
+        bench.store.fault({{"outage_ms", 3000}});
+        CHECK(eventually([&] { return !listed(); }));
+        CHECK(eventually(listed));
+    }
+}
+
+TEST_CASE("an accepted change reaches every entry node under each fault and none goes back")
+{
+    struct fault_case {
+        std::string name;
+        std::function<void(local_fleet&)> provoke; ///< Just after the change was accepted.
+        milliseconds bound;                        ///< Time within which every entry node must have it.
+    };
+    fault_case const cases[] = {
+        {"no fault", [](local_fleet&) {}, milliseconds(4000)},
+        {"watch connections go silent", [](local_fleet& f) { f.store.server.silence_open_connections(); },
+         milliseconds(4000)},
+        {"store slow",
+         [](local_fleet& f) {
+             f.store.fault({{"delay_ms", 200}});
+         },
+         milliseconds(4000)},
+        {"store down for a second",
+         [](local_fleet& f) {
+             f.store.fault({{"outage_ms", 1000}});
+         },
+         milliseconds(5000)},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        local_fleet fleet(2, 9, 2, 2);
+        REQUIRE(fleet.converged(fleet.publish()));
+        std::this_thread::sleep_for(milliseconds(100)); // every watch waits
+        item.provoke(fleet);
+        fleet.published_version = 1;
+        h2_client transport;
+        store_client operator_client(transport, fleet.store.address(), milliseconds(2000));
+        std::int64_t accepted = 0;
+        auto begun = clock::now();
+        CHECK(eventually([&] {
+            try {
+                begun = clock::now();
+                accepted = operator_client.put(
+                    resource_key(resource_kind::route, "r"),
+                    resource_to_json({resource_kind::route, "r", route_spec{"c", "svc"}, 0}).dump());
+            } catch (error const&) {
+            }
+            return accepted > 0;
+        }));
+        CHECK(fleet.converged(accepted));
+        auto const took = std::chrono::duration_cast<milliseconds>(clock::now() - begun);
+        MESSAGE(item.name << ": 9 entry nodes converged in " << took.count() << " ms after acceptance");
+        fleet.heal();
+    }
+}
+
+TEST_CASE("a watcher is not thrown back to a full read by writes outside the configuration")
+{
+    store_bench bench;
+    bench.client.put(resource_key(resource_kind::route, "r"),
+                     resource_to_json({resource_kind::route, "r", route_spec{"c", "svc"}, 0}).dump());
+    config_view view;
+    config_watcher watcher(bench.client, view, milliseconds(50));
+    watcher.start();
+    REQUIRE(eventually([&] { return view.current()->routes.size() == 1; }));
+    h2_client transport;
+    store_client writer(transport, bench.store.address(), milliseconds(2000));
+    std::int64_t last = 0;
+    for (int i = 0; i < 50; ++i)
+        last = writer.put(std::string(write_prefix) + "svc/" + std::to_string(i), "{}");
+    // The view's revision follows the store though nothing under its prefix changed.
+    CHECK(eventually([&] { return view.current()->revision >= last; }));
+}
+
+TEST_CASE("a leaving back end gets no new work, whichever signal tells of it")
+{
+    struct signal_case {
+        std::string name;
+        std::function<void(local_fleet&)> leave; ///< Tells that back end 0 is leaving.
+    };
+    signal_case const cases[] = {
+        {"its own drain signal", [](local_fleet& f) { f.backends[0]->service.set_faults({.draining = true}); }},
+        {"the VM list, 500 ms late",
+         [](local_fleet& f) {
+             f.store.fault({{"vm_lag_ms", 500}});
+             f.store.set_vm(f.backends[0]->address().to_string(), "leaving");
+         }},
+        {"only failed requests: it is gone", [](local_fleet& f) { f.backends[0]->server.set_frozen(true); }},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        entry_setup setup;
+        setup.read_vm_list = true;
+        local_fleet fleet(3, 1, 3, 8, setup);
+        REQUIRE(fleet.converged(fleet.publish()));
+        auto const told = std::chrono::duration_cast<milliseconds>(clock::now().time_since_epoch()).count();
+        item.leave(fleet);
+        // Queries go on until many in a row found it closed to new work.
+        int number = 0;
+        int last_at_leaving = 0;
+        CHECK(eventually([&] {
+            query_request query;
+            query.service = "svc";
+            query.query = "sea";
+            query.request_id = std::to_string(++number);
+            query.deadline_ms = 3000;
+            auto const result = fleet.entries[0]->query(query);
+            CHECK(result.answer.has_value());
+            if (result.answer) CHECK(result.answer->coverage == doctest::Approx(1.0));
+            for (auto const& entry : fleet.backends[0]->service.journal()) {
+                if (entry.event == journal_event::ran) last_at_leaving = std::max(last_at_leaving, std::stoi(entry.id));
+            }
+            return number - last_at_leaving >= quiet_queries;
+        }));
+        std::int64_t last_ms = told;
+        for (auto const& entry : fleet.backends[0]->service.journal()) {
+            if (entry.event == journal_event::ran) last_ms = std::max(last_ms, entry.at_ms);
+        }
+        MESSAGE(item.name << ": last new work " << last_ms - told << " ms after the signal");
+        fleet.heal();
+    }
+}
--- /dev/null
+++ b/tests/test_query_contract.cpp
@@ -0,0 +1,255 @@
+/** @file test_query_contract.cpp One snapshot, true coverage, own answers, true "not run": faults and random mixes. */
+#include "local_fleet.hpp"
+#include "random_run.hpp"
+
+#include <future>
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+
+namespace {
+
+/** Words that queries are made of; all occur in the corpus. */
+char const* const words[] = {"love", "war", "sea", "life", "time", "court", "money", "work", "god", "computer"};
+
+/** @return a query of two random words. */
+std::string random_query(std::mt19937_64& random)
+{
+    return std::string(words[random() % std::size(words)]) + " " + words[random() % std::size(words)];
+}
+
+/** @return a query request. */
+query_request make_query(std::string const& id, std::string const& text, std::int64_t deadline_ms)
+{
+    query_request query;
+    query.service = "svc";
+    query.query = text;
+    query.k = 10;
+    query.deadline_ms = deadline_ms;
+    query.request_id = id;
+    return query;
+}
+
+/** @return the shards that @p answer says contributed. */
+std::set<std::int32_t> contributing(query_answer const& answer)
+{
+    std::set<std::int32_t> shards;
+    for (std::int32_t shard = 0; shard < answer.shards_total; ++shard)
+        shards.insert(shard);
+    for (auto shard : answer.missing)
+        shards.erase(shard);
+    return shards;
+}
+
+/** Checks @p result against an index built apart from the fleet, and against the back ends' own journals. */
+void check_truth(local_fleet& fleet, query_request const& asked, gather_result const& result,
+                 std::set<std::string> const& received,
+                 std::set<std::tuple<std::string, std::int32_t, std::int64_t>> const& ran)
+{
+    CAPTURE(asked.request_id);
+    CHECK(result.answer.has_value() != result.failure.has_value());
+    if (result.failure) {
+        CHECK(result.retry_after_s > 0);
+        if (result.failure->kind() == error_kind::not_run) CHECK(received.count(asked.request_id) == 0);
+        return;
+    }
+    auto const& answer = *result.answer;
+    CHECK(answer.request_id == asked.request_id);
+    CHECK(answer.shards_total == fleet.shard_count(answer.index_version));
+    auto const shards = contributing(answer);
+    CHECK(answer.shards_answered == static_cast<std::int32_t>(shards.size()));
+    CHECK(answer.coverage == doctest::Approx(static_cast<double>(shards.size()) / answer.shards_total));
+    for (auto shard : shards)
+        CHECK(ran.count({asked.request_id, shard, answer.index_version}) == 1);
+    // The hits are exactly those of the one version's contributing shards: nothing mixed in, nothing lost.
+    auto const expected = fleet.expected(answer.index_version, shards, asked.query, static_cast<std::size_t>(asked.k));
+    REQUIRE(answer.hits.size() == expected.size());
+    for (std::size_t i = 0; i < expected.size(); ++i)
+        CHECK(answer.hits[i].doc == expected[i].doc);
+}
+
+/** Back ends' journals as look-up sets. */
+struct journal_sets {
+    std::set<std::string> received;
+    std::set<std::tuple<std::string, std::int32_t, std::int64_t>> ran;
+    explicit journal_sets(local_fleet const& fleet)
+    {
+        for (auto const& entry : fleet.journals()) {
+            if (entry.is_write) continue;
+            received.insert(entry.id);
+            if (entry.event == journal_event::ran) ran.insert({entry.id, entry.shard, entry.index_version});
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a query under each fault: coverage, version and refusals are true")
+{
+    struct fault_case {
+        char const* name;
+        std::function<void(local_fleet&)> provoke;
+        double coverage;     ///< Expected coverage; -1 when refused.
+        char const* refusal; ///< Expected error kind when refused.
+    };
+    fault_case const cases[] = {
+        {"no fault", [](local_fleet&) {}, 1.0, ""},
+        {"one back end frozen", [](local_fleet& f) { f.backends[0]->server.set_frozen(true); }, 1.0, ""},
+        {"one back end's connections silent", [](local_fleet& f) { f.backends[1]->server.silence_open_connections(); },
+         1.0, ""},
+        {"every connection silent at once",
+         [](local_fleet& f) {
+             for (auto const& backend : f.backends)
+                 backend->server.silence_open_connections();
+         },
+         1.0, ""},
+        {"one back end sheds", [](local_fleet& f) { f.backends[0]->service.set_faults({.shed_probability = 1.0}); },
+         1.0, ""},
+        {"one back end drains", [](local_fleet& f) { f.backends[0]->service.set_faults({.draining = true}); }, 1.0, ""},
+        {"one back end garbles", [](local_fleet& f) { f.backends[0]->service.set_faults({.garble_probability = 1.0}); },
+         1.0, ""},
+        {"one back end straggles",
+         [](local_fleet& f) { f.backends[2]->service.set_faults({.delay_ms = 10000, .delay_probability = 1.0}); }, 1.0,
+         ""},
+        {"one back end loses answers",
+         [](local_fleet& f) { f.backends[0]->service.set_faults({.lost_reply_probability = 1.0}); }, 1.0, ""},
+        {"both replicas of one shard out of three straggle",
+         [](local_fleet& f) {
+             // Back ends 0 and 1 hold shard 0; back end 2 shares shards 1 and 2 with them.
+             f.backends[0]->service.set_faults({.delay_ms = 10000, .delay_probability = 1.0});
+             f.backends[1]->service.set_faults({.delay_ms = 10000, .delay_probability = 1.0});
+         },
+         2.0 / 3.0, ""},
+        {"every back end sheds",
+         [](local_fleet& f) {
+             for (auto const& backend : f.backends)
+                 backend->service.set_faults({.shed_probability = 1.0});
+         },
+         -1, "unavailable"},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        local_fleet fleet(3, 1, 3, 8);
+        REQUIRE(fleet.converged(fleet.publish()));
+        REQUIRE(fleet.entries[0]->query(make_query("warm", "sea", 5000)).answer.has_value());
+        item.provoke(fleet);
+        std::this_thread::sleep_for(milliseconds(50)); // the fault reaches the servers' threads
+        auto const query = make_query("q", "love war", 4000);
+        auto const result = fleet.entries[0]->query(query);
+        journal_sets const journals(fleet);
+        check_truth(fleet, query, result, journals.received, journals.ran);
+        if (item.coverage < 0) {
+            REQUIRE(result.failure.has_value());
+            CHECK(to_string(result.failure->kind()) == item.refusal);
+        } else {
+            REQUIRE(result.answer.has_value());
+            CHECK(result.answer->coverage == doctest::Approx(item.coverage));
+        }
+        fleet.heal();
+    }
+}
+
+TEST_CASE("a query pinned to a version that was dropped meanwhile starts over at the new one")
+{
+    local_fleet fleet(3, 1, 3, 8);
+    REQUIRE(fleet.converged(fleet.publish()));
+    auto const old_snapshot = fleet.entries[0]->view.current();
+    fleet.load_version(2, 5);
+    fleet.versions = {2};
+    fleet.published_version = 2;
+    REQUIRE(fleet.converged(fleet.publish()));
+    for (auto const& backend : fleet.backends)
+        backend->service.drop_version(1);
+    // The query starts from the snapshot taken before the change, as one does that was being read just then.
+    std::promise<gather_result> promise;
+    auto const query = make_query("q", "sea life", 4000);
+    fleet.entries[0]->gather.run(old_snapshot, query,
+                                 [&](gather_result result) { promise.set_value(std::move(result)); });
+    auto const result = promise.get_future().get();
+    REQUIRE(result.answer.has_value());
+    CHECK(result.answer->index_version == 2);
+    CHECK(result.answer->coverage == doctest::Approx(1.0));
+    journal_sets const journals(fleet);
+    check_truth(fleet, query, result, journals.received, journals.ran);
+}
+
+TEST_CASE("randomised: every answer is whole, its own, from one version, and its coverage is true")
+{
+    for (auto seed : run_seeds()) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        auto const chance = [&random](double p) { return std::uniform_real_distribution<double>(0, 1)(random) < p; };
+        constexpr std::size_t backend_count = 4;
+        constexpr std::size_t entry_count = 2;
+        local_fleet fleet(backend_count, entry_count, 6, 16);
+        REQUIRE(fleet.converged(fleet.publish()));
+        std::vector<query_request> asked;
+        std::vector<std::future<gather_result>> answers;
+        std::vector<std::shared_ptr<std::atomic<int>>> callbacks;
+        std::vector<std::int64_t> last_revision(entry_count, 0);
+        std::int64_t next_version = 2;
+        for (int step = 0; step < run_steps(); ++step) {
+            if (chance(0.15)) {
+                auto& backend = *fleet.backends[random() % backend_count];
+                backend.service.set_faults({.delay_ms = static_cast<std::int64_t>(random() % 500),
+                                            .delay_probability = chance(0.5) ? 0.2 : 0.0,
+                                            .shed_probability = chance(0.3) ? 0.3 : 0.0,
+                                            .garble_probability = chance(0.2) ? 0.2 : 0.0,
+                                            .lost_reply_probability = chance(0.2) ? 0.1 : 0.0,
+                                            .draining = chance(0.1)});
+                backend.server.set_frozen(chance(0.1));
+                if (chance(0.15)) backend.server.silence_open_connections();
+            }
+            if (chance(0.03)) fleet.store.fault({{"outage_ms", random() % 500}});
+            if (chance(0.03)) fleet.store.server.silence_open_connections();
+            if (chance(0.03)) {
+                // Repartitioning: a new version cut into another number of shards; the oldest is dropped.
+                fleet.load_version(next_version, static_cast<std::int32_t>(3 + random() % 6));
+                fleet.versions = {next_version - 1, next_version};
+                fleet.published_version = next_version;
+                fleet.store.fault(nlohmann::json::object());
+                fleet.publish();
+                for (auto const& backend : fleet.backends)
+                    backend->service.drop_version(next_version - 2);
+                ++next_version;
+            }
+            auto& entry = *fleet.entries[random() % entry_count];
+            asked.push_back(make_query("q" + std::to_string(step), random_query(random),
+                                       static_cast<std::int64_t>(50 + random() % 1500)));
+            auto promise = std::make_shared<std::promise<gather_result>>();
+            auto calls = std::make_shared<std::atomic<int>>(0);
+            answers.push_back(promise->get_future());
+            callbacks.push_back(calls);
+            entry.gather.run(entry.view.current(), asked.back(), [promise, calls](gather_result result) {
+                if (++*calls == 1) promise->set_value(std::move(result));
+            });
+            for (std::size_t i = 0; i < entry_count; ++i) {
+                auto const revision = fleet.entries[i]->view.current()->revision;
+                CHECK(revision >= last_revision[i]);
+                last_revision[i] = revision;
+            }
+            std::this_thread::sleep_for(milliseconds(random() % 8));
+        }
+        std::vector<gather_result> results;
+        for (auto& future : answers)
+            results.push_back(future.get());
+        fleet.heal();
+        std::this_thread::sleep_for(milliseconds(100));
+        journal_sets const journals(fleet);
+        std::map<std::string, int> tally;
+        for (std::size_t i = 0; i < results.size(); ++i) {
+            check_truth(fleet, asked[i], results[i], journals.received, journals.ran);
+            CHECK(callbacks[i]->load() == 1);
+            auto const& result = results[i];
+            ++tally[!result.answer ? to_string(result.failure->kind())
+                                   : (result.answer->missing.empty() ? "whole" : "partial")];
+            tally["retries"] += result.retries;
+            tally["hedges"] += result.hedges;
+        }
+        tally["versions"] = static_cast<int>(next_version - 1);
+        report_tally("queries", seed, tally);
+        CHECK(invariant_violations() == 0);
+    }
+}
--- /dev/null
+++ b/tests/test_transport_contract.cpp
@@ -0,0 +1,153 @@
+/** @file test_transport_contract.cpp Contract of the HTTP/2 client: what is known of a request under each fault. */
+#include <cornelspring/transport.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+
+namespace {
+
+/** Deadline of calls that must end long before it. */
+constexpr milliseconds far_deadline{20000};
+/** Deadline of calls that are meant to time out. */
+constexpr milliseconds near_deadline{300};
+
+/** A server whose handler answers, or keeps the reply, as told. */
+struct test_server {
+    std::atomic<int> received{0};
+    std::atomic<bool> hold{false};
+    std::vector<reply_fn> held; ///< Touched on the server thread only.
+    h2_server server{server_options{}, [this](http_request const& request, reply_fn reply) {
+                         ++received;
+                         if (hold) {
+                             held.push_back(std::move(reply));
+                         } else {
+                             reply(json_response(200, request.body));
+                         }
+                     }};
+    test_server() { server.start(); }
+    endpoint address() const { return {"127.0.0.1", server.port()}; }
+};
+
+/** @return a small POST. */
+http_request ping_request(std::string body = "{}")
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/x";
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("each fault gives the outcome that tells whether the request may have run")
+{
+    struct fault_case {
+        char const* name;
+        std::function<void(test_server&)> provoke; ///< Before the call.
+        milliseconds deadline;
+        send_outcome outcome;
+    };
+    fault_case const cases[] = {
+        {"healthy", [](test_server&) {}, far_deadline, send_outcome::answered},
+        {"reply never comes", [](test_server& s) { s.hold = true; }, near_deadline, send_outcome::unknown},
+        {"server frozen after the connection opened", [](test_server& s) { s.server.set_frozen(true); }, far_deadline,
+         send_outcome::unknown},
+        {"connection silent for good", [](test_server& s) { s.server.silence_open_connections(); }, far_deadline,
+         send_outcome::unknown},
+        {"server drains: the old connection got GOAWAY and nothing listens",
+         [](test_server& s) { s.server.drain(milliseconds(50)); }, far_deadline, send_outcome::not_sent},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        test_server server;
+        h2_client client;
+        REQUIRE(client.call(server.address(), ping_request(), far_deadline).outcome == send_outcome::answered);
+        item.provoke(server);
+        std::this_thread::sleep_for(milliseconds(100)); // the fault reaches the server's thread
+        auto const begun = clock::now();
+        auto const result = client.call(server.address(), ping_request(), item.deadline);
+        CHECK(result.outcome == item.outcome);
+        // Long before a far deadline: a silent connection is found by PING, not by the caller's patience.
+        CHECK(clock::now() - begun < far_deadline / 2);
+        server.server.set_frozen(false);
+    }
+}
+
+TEST_CASE("nothing listening is reported as not sent")
+{
+    std::uint16_t port = 0;
+    {
+        test_server gone;
+        port = gone.server.port();
+    }
+    h2_client client;
+    auto const result = client.call({"127.0.0.1", port}, ping_request(), far_deadline);
+    CHECK(result.outcome == send_outcome::not_sent);
+}
+
+TEST_CASE("after a connection went silent, new calls use a new one")
+{
+    test_server server;
+    h2_client client;
+    REQUIRE(client.call(server.address(), ping_request(), far_deadline).outcome == send_outcome::answered);
+    server.server.silence_open_connections();
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(client.call(server.address(), ping_request(), near_deadline).outcome == send_outcome::unknown);
+    CHECK(client.call(server.address(), ping_request(), far_deadline).outcome == send_outcome::answered);
+    CHECK(client.stats().connections_opened == 2);
+}
+
+TEST_CASE("late and reordered replies reach only their own callers")
+{
+    test_server server;
+    h2_client client;
+    server.hold = true;
+    constexpr int calls = 20;
+    std::vector<std::future<client_result>> results;
+    for (int i = 0; i < calls; ++i) {
+        auto promise = std::make_shared<std::promise<client_result>>();
+        results.push_back(promise->get_future());
+        client.submit(server.address(), ping_request(std::to_string(i)), far_deadline,
+                      [promise](client_result result) { promise->set_value(std::move(result)); });
+    }
+    while (server.received < calls)
+        std::this_thread::sleep_for(milliseconds(5));
+    // Answer in reverse order, each with the number of its own call.
+    server.server.post([&server] {
+        for (int i = calls - 1; i >= 0; --i)
+            server.held[static_cast<std::size_t>(i)](json_response(200, "answer " + std::to_string(i)));
+    });
+    for (int i = 0; i < calls; ++i) {
+        auto const result = results[static_cast<std::size_t>(i)].get();
+        CHECK(result.outcome == send_outcome::answered);
+        CHECK(result.response.body == "answer " + std::to_string(i));
+    }
+}
+
+TEST_CASE("a cancelled call resets its stream, and the server's handler can see it")
+{
+    std::atomic<bool> seen{false};
+    std::shared_ptr<std::atomic<bool>> flag;
+    std::atomic<bool> arrived{false};
+    h2_server server(server_options{}, [&](http_request const& request, reply_fn) {
+        flag = request.cancelled;
+        arrived = true;
+    });
+    server.start();
+    h2_client client;
+    auto const id = client.submit({"127.0.0.1", server.port()}, ping_request(), far_deadline, [](client_result) {});
+    while (!arrived)
+        std::this_thread::sleep_for(milliseconds(5));
+    client.cancel(id);
+    for (int i = 0; i < 400 && !seen; ++i) {
+        seen = flag->load();
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    CHECK(seen);
+}
