Load tool, burn report and bench; design notes of the mechanisms; tests of the policy's decisions

Change: cornel-load (open loop, TOML scenario, exact percentiles, coverage, extra requests from the entry nodes' counters, exactly-once from the back ends' journals), cornel-report (error-budget burn as HTML with SVG), bench/run (starts a fleet, compares policies in one run), bench/smoke in ctest. cornel-backend can hold several back ends in one process. docs/design: at-most-once, configuration, leaving-back-ends, routing-policy, query-path. tests/test_policy: replica choice, ejection, budgets, latency window as tables with the time given.

--- a/src/backend/main.cpp
+++ b/src/backend/main.cpp
@@ -2,6 +2,8 @@
 #include "backend_service.hpp"
 
 #include <iostream>
+#include <memory>
+#include <sstream>
 
 namespace cornelspring {
 namespace {
@@ -11,9 +13,12 @@
     {"name", setting_type::text, std::nullopt, 0, 0, "name of this back end, reported in answers"},
     {"service", setting_type::text, std::nullopt, 0, 0, "service whose shards it holds"},
     {"shard_count", setting_type::integer, std::nullopt, 1, 4096, "shards of the service"},
-    {"shards", setting_type::integer_list, std::nullopt, 0, 4095, "shard numbers held"},
+    {"shards", setting_type::integer_list, setting_value{std::vector<std::int64_t>{}}, 0, 4095,
+     "shard numbers held (required without 'instances')"},
     {"index_versions", setting_type::integer_list, setting_value{std::vector<std::int64_t>{1}}, 1, 1e12,
      "index versions held"},
+    {"instances", setting_type::text_list, setting_value{std::vector<std::string>{}}, 0, 0,
+     "several back ends in this process: one entry each, its shards as \"0,1\"; replaces 'shards'"},
     {"slots", setting_type::integer, setting_value{std::int64_t{2}}, 1, 256, "requests run at once"},
     {"max_connections", setting_type::integer, setting_value{std::int64_t{25}}, 1, 100000,
      "connections accepted; more are closed at once"},
@@ -34,21 +39,45 @@
      "longest wait for requests in flight at SIGTERM, in milliseconds"},
 };
 
-/** Runs the back end until SIGTERM. */
-int run(int argc, char const** argv)
+/** One back end of this process. */
+struct instance {
+    backend_service service; ///< Its searches and writes.
+    h2_server server;        ///< Its listener.
+    /** @param config holdings. @param corpus documents. @param listen address and limits. */
+    instance(backend_config config, std::vector<document> const& corpus, server_options listen)
+        : service(std::move(config), corpus),
+          server(std::move(listen),
+                 [this](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); })
+    {
+        server.start();
+    }
+};
+
+/** @return the shard numbers written as "0,1". */
+std::vector<std::int64_t> parse_shards(std::string const& text)
 {
-    auto const options = parse_command_line("cornel-backend", "back-end stand-in", argc, argv, backend_settings);
-    if (options.exit_now) return 0;
-    init_logging("cornel-backend", options.log_level);
-    auto const config = load_settings_file(options, backend_settings);
-    install_stop_signals();
-    backend_config holdings;
-    holdings.name = config.text("name");
-    holdings.service = config.text("service");
+    std::vector<std::int64_t> shards;
+    std::istringstream in(text);
+    std::string part;
+    while (std::getline(in, part, ','))
+        shards.push_back(std::atoll(part.c_str()));
+    return shards;
+}
+
+/** @return what one back end named @p name holds. */
+backend_config make_config(settings const& config, std::string const& name, std::vector<std::int64_t> const& shards)
+{
+    backend_config out;
+    out.name = name;
+    out.service = config.text("service");
     version_holding held;
     held.shard_count = static_cast<std::int32_t>(config.integer("shard_count"));
-    for (auto shard : config.integer_list("shards")) {
-        if (shard >= held.shard_count) {
+    if (shards.empty()) {
+        throw error(error_kind::bad_settings, "back end '" + name + "' holds no shard.",
+                    "List its shards in 'shards' or 'instances'.");
+    }
+    for (auto shard : shards) {
+        if (shard < 0 || shard >= held.shard_count) {
             throw error(error_kind::bad_settings, "shard " + std::to_string(shard) + " is not below shard_count.",
                         "List only shards from 0 to shard_count - 1.");
         }
@@ -56,28 +85,57 @@
     }
     for (auto version : config.integer_list("index_versions")) {
         held.index_version = version;
-        holdings.holding.push_back(held);
+        out.holding.push_back(held);
     }
-    holdings.slots = static_cast<std::size_t>(config.integer("slots"));
-    holdings.work_ms = config.floating("work_ms");
-    holdings.cold_start_ms = config.integer("cold_start.ms");
-    holdings.cold_extra_ms = config.integer("cold_start.extra_ms");
+    out.slots = static_cast<std::size_t>(config.integer("slots"));
+    out.work_ms = config.floating("work_ms");
+    out.cold_start_ms = config.integer("cold_start.ms");
+    out.cold_extra_ms = config.integer("cold_start.extra_ms");
+    return out;
+}
+
+/** @return the configurations of every back end of this process. */
+std::vector<backend_config> make_configs(settings const& config)
+{
+    std::string const& name = config.text("name");
+    auto const& instances = config.text_list("instances");
+    if (instances.empty()) return {make_config(config, name, config.integer_list("shards"))};
+    std::vector<backend_config> out;
+    for (std::size_t i = 0; i < instances.size(); ++i)
+        out.push_back(make_config(config, name + "-" + std::to_string(i), parse_shards(instances[i])));
+    return out;
+}
+
+/** Runs the back ends until SIGTERM. */
+int run(int argc, char const** argv)
+{
+    auto const options = parse_command_line("cornel-backend", "back-end stand-in", argc, argv, backend_settings);
+    if (options.exit_now) return 0;
+    init_logging("cornel-backend", options.log_level);
+    auto const config = load_settings_file(options, backend_settings);
+    install_stop_signals();
+    auto const configs = make_configs(config);
     auto const corpus =
         load_corpus(config.text("corpus.directory"), static_cast<std::size_t>(config.integer("corpus.max_documents")));
-    backend_service service(holdings, corpus);
     server_options listen;
     listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
     listen.max_connections = static_cast<std::size_t>(config.integer("max_connections"));
-    h2_server server(
-        listen, [&service](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); });
-    server.start();
     auto logger = get_logger("backend");
-    LOG4CPLUS_INFO(logger, holdings.name << " listening on port " << server.port() << " with " << corpus.size()
-                                         << " documents");
-    if (!config.text("ready_file").empty()) write_file_atomic(config.text("ready_file"), std::to_string(server.port()));
+    std::vector<std::unique_ptr<instance>> running;
+    std::string ports;
+    for (auto const& item : configs) {
+        running.push_back(std::make_unique<instance>(item, corpus, listen));
+        ports += (ports.empty() ? "" : ",") + std::to_string(running.back()->server.port());
+        LOG4CPLUS_INFO(logger, item.name << " listening on port " << running.back()->server.port() << " with "
+                                         << corpus.size() << " documents");
+    }
+    if (!config.text("ready_file").empty()) write_file_atomic(config.text("ready_file"), ports);
     wait_for_stop_signal();
-    service.begin_drain();
-    auto const left = server.drain(milliseconds(config.integer("drain_ms")));
+    for (auto const& item : running)
+        item->service.begin_drain();
+    std::size_t left = 0;
+    for (auto const& item : running)
+        left += item->server.drain(milliseconds(config.integer("drain_ms")));
     LOG4CPLUS_INFO(logger, "stopped; requests cut off: " << left);
     return 0;
 }
--- /dev/null
+++ b/src/load/load_run.cpp
@@ -0,0 +1,187 @@
+/** @file load_run.cpp The open loop of a load run. */
+#include "load_run.hpp"
+
+#include <algorithm>
+#include <thread>
+
+namespace cornelspring {
+namespace {
+
+/** Time a caller waits beyond its deadline before it counts the answer as lost. */
+constexpr milliseconds caller_patience{1000};
+/** Timeout of scrapes, journals and faults. */
+constexpr milliseconds control_timeout{5000};
+/** The counters are first read this long before the warm-up ends, so that reading them delays no counted request. */
+constexpr double scrape_lead_s = 0.5;
+/** Shortest time an address list is kept. */
+constexpr std::chrono::seconds min_keep{1};
+
+/** @return a GET. */
+http_request get(char const* path)
+{
+    http_request request;
+    request.path = path;
+    return request;
+}
+
+/** @return a JSON POST. */
+http_request post(char const* path, nlohmann::json const& body)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.push_back({"content-type", "application/json"});
+    request.body = body.dump();
+    return request;
+}
+
+} // namespace
+
+load_run::load_run(scenario plan) : m_plan(std::move(plan)), m_random(m_plan.seed) {}
+
+std::vector<load_run::arrival> load_run::draw_arrivals()
+{
+    std::vector<arrival> arrivals;
+    for (std::size_t group = 0; group < m_plan.callers.size(); ++group) {
+        std::exponential_distribution<double> gap(m_plan.callers[group].rate);
+        for (double at = gap(m_random); at < m_plan.duration_s; at += gap(m_random))
+            arrivals.push_back({at, group});
+    }
+    std::sort(arrivals.begin(), arrivals.end(), [](auto const& a, auto const& b) { return a.at_s < b.at_s; });
+    return arrivals;
+}
+
+void load_run::refresh_addresses(time_point now)
+{
+    if (now < m_refresh_at) return;
+    m_refresh_at = now + min_keep;
+    for (auto const& known : m_plan.entries) {
+        auto const reply = m_callers.call(known, get(paths::entries), control_timeout);
+        if (reply.outcome != send_outcome::answered || reply.response.status != 200) continue;
+        auto const list = parse_message<entry_list>(reply.response.body, "entry list");
+        if (list.addresses.empty()) continue;
+        m_addresses.clear();
+        for (auto const& address : list.addresses)
+            m_addresses.push_back(parse_endpoint(address));
+        m_refresh_at = now + std::max(min_keep, std::chrono::seconds(list.ttl_s));
+        return;
+    }
+    if (m_addresses.empty()) m_addresses = m_plan.entries;
+}
+
+void load_run::send_faults(double now_s)
+{
+    while (m_next_fault < m_plan.faults.size() && m_plan.faults[m_next_fault].at_s <= now_s) {
+        auto const& fault = m_plan.faults[m_next_fault++];
+        m_peers.submit(fault.target, post(paths::fault, fault.body), control_timeout, [](client_result) {});
+    }
+}
+
+void load_run::note(request_sample sample, client_result const& result, time_point due, std::int64_t deadline_ms)
+{
+    auto const now = clock::now();
+    sample.latency_ms = std::chrono::duration<double, std::milli>(now - due).count();
+    if (result.outcome != send_outcome::answered) {
+        sample.outcome = "lost";
+    } else if (result.response.status != 200) {
+        auto const body = nlohmann::json::parse(result.response.body, nullptr, false);
+        sample.outcome = body.is_object() ? body.value("error", "unreadable") : "unreadable";
+    } else {
+        auto const body = nlohmann::json::parse(result.response.body, nullptr, false);
+        sample.coverage = sample.is_write ? 1.0 : (body.is_object() ? body.value("coverage", 0.0) : 0.0);
+        sample.outcome = sample.coverage >= 1.0 ? "whole" : "partial";
+        if (sample.latency_ms > static_cast<double>(deadline_ms)) sample.outcome = "late";
+    }
+    std::lock_guard lock(m_mutex);
+    m_samples.push_back(std::move(sample));
+    --m_open;
+}
+
+void load_run::send(arrival const& item, std::size_t number)
+{
+    auto const& group = m_plan.callers[item.group];
+    request_sample sample;
+    sample.group = item.group;
+    sample.at_s = item.at_s;
+    sample.is_write = std::uniform_real_distribution<double>(0, 1)(m_random) < group.write_share;
+    std::string const id = m_plan.name + "-" + std::to_string(m_plan.seed) + "-" + std::to_string(number);
+    auto word = [&] { return group.vocabulary[m_random() % group.vocabulary.size()]; };
+    http_request request;
+    if (sample.is_write) {
+        sample.key = id;
+        write_request const write{group.service, id, word(), "booking " + id, group.deadline_ms};
+        request = post(paths::writes, write);
+    } else {
+        query_request query;
+        query.service = group.service;
+        query.query = word() + " " + word();
+        query.deadline_ms = group.deadline_ms;
+        query.request_id = id;
+        request = post(paths::query, query);
+    }
+    auto const due = m_start + std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(item.at_s));
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_open;
+    }
+    auto const& entry = m_addresses[m_random() % m_addresses.size()];
+    m_callers.submit(entry, std::move(request), milliseconds(group.deadline_ms) + caller_patience,
+                     [this, sample, due, deadline = group.deadline_ms](client_result result) {
+                         note(sample, result, due, deadline);
+                     });
+}
+
+std::vector<std::string> load_run::scrape()
+{
+    std::vector<std::string> texts;
+    for (auto const& entry : m_addresses)
+        texts.push_back(m_callers.call(entry, get(paths::metrics), control_timeout).response.body);
+    return texts;
+}
+
+std::map<std::string, int> load_run::read_journals()
+{
+    std::map<std::string, int> runs;
+    for (auto const& backend : m_plan.backends) {
+        auto const reply = m_peers.call(backend, get(paths::journal), control_timeout);
+        auto const body = nlohmann::json::parse(reply.response.body, nullptr, false);
+        if (!body.is_object()) continue;
+        for (auto const& entry : body.value("entries", nlohmann::json::array())) {
+            if (entry.value("write", false) && entry.value("event", "") == "ran") ++runs[entry.value("id", "")];
+        }
+    }
+    return runs;
+}
+
+nlohmann::json load_run::run()
+{
+    auto const arrivals = draw_arrivals();
+    refresh_addresses(clock::now());
+    backend_requests before;
+    bool warm = false;
+    m_start = clock::now();
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+        auto const due =
+            m_start + std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(arrivals[i].at_s));
+        std::this_thread::sleep_until(due);
+        if (!warm && arrivals[i].at_s >= m_plan.warmup_s - scrape_lead_s) {
+            before = read_backend_requests(scrape());
+            warm = true;
+        }
+        send_faults(arrivals[i].at_s);
+        refresh_addresses(clock::now());
+        send(arrivals[i], i);
+    }
+    while (true) { // ends: every request has a timeout
+        std::this_thread::sleep_for(milliseconds(20));
+        std::lock_guard lock(m_mutex);
+        if (m_open == 0) break;
+    }
+    auto sent = read_backend_requests(scrape());
+    sent.first -= before.first;
+    sent.retry -= before.retry;
+    sent.hedge -= before.hedge;
+    return summarise(m_plan, m_samples, sent, read_journals());
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/tests/test_policy.cpp
@@ -0,0 +1,154 @@
+/** @file test_policy.cpp Decisions of the routing policy, with the present time given. */
+#include <cornelspring/coordination.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using std::chrono::microseconds;
+
+namespace {
+
+/** A fixed moment: the decisions only compare times. */
+time_point const start{std::chrono::seconds(1000)};
+
+/** @return two replicas, a and b. */
+std::vector<replica> two_replicas() { return {{"a", {"127.0.0.1", 1}, "Wien", 2}, {"b", {"127.0.0.1", 2}, "Graz", 2}}; }
+
+/** Notes one finished request of @p name. */
+void observe(backend_tracker& tracker, std::string const& name, attempt_outcome outcome, int took_ms, time_point now)
+{
+    tracker.on_sent(name);
+    tracker.on_ended(name, outcome, milliseconds(took_ms), now);
+}
+
+} // namespace
+
+TEST_CASE("the adaptive policy picks by what was observed")
+{
+    struct policy_case {
+        char const* name;
+        std::function<void(backend_tracker&)> observed;
+        milliseconds later; ///< Time of the choice after start.
+        std::optional<std::size_t> pick;
+    };
+    policy_case const cases[] = {
+        {"b is faster",
+         [](backend_tracker& t) {
+             observe(t, "a", attempt_outcome::answered, 50, start);
+             observe(t, "b", attempt_outcome::answered, 5, start);
+         },
+         milliseconds(0), 1},
+        {"a has a queue",
+         [](backend_tracker& t) {
+             for (int i = 0; i < 4; ++i)
+                 t.on_sent("a");
+         },
+         milliseconds(0), 1},
+        {"a shed just now", [](backend_tracker& t) { observe(t, "a", attempt_outcome::shed, 1, start); },
+         milliseconds(1), 1},
+        {"a said it drains", [](backend_tracker& t) { observe(t, "a", attempt_outcome::draining, 1, start); },
+         milliseconds(1000), 1},
+        {"a failed twice",
+         [](backend_tracker& t) {
+             observe(t, "a", attempt_outcome::failed, 1, start);
+             observe(t, "a", attempt_outcome::failed, 1, start);
+         },
+         milliseconds(100), 1},
+        {"a is overtaken again and again",
+         [](backend_tracker& t) {
+             observe(t, "b", attempt_outcome::answered, 10, start);
+             observe(t, "a", attempt_outcome::overtaken, 500, start);
+         },
+         milliseconds(0), 1},
+        {"the VM list calls b leaving, though it is faster",
+         [](backend_tracker& t) {
+             observe(t, "b", attempt_outcome::answered, 1, start);
+             observe(t, "a", attempt_outcome::answered, 100, start);
+             t.set_leaving({"127.0.0.1:2"});
+         },
+         milliseconds(0), 0},
+        {"both are leaving: no new work at all",
+         [](backend_tracker& t) {
+             t.set_leaving({"127.0.0.1:1", "127.0.0.1:2"});
+         },
+         milliseconds(0), std::nullopt},
+        {"both failed: one is tried all the same, the less loaded",
+         [](backend_tracker& t) {
+             for (char const* name : {"a", "b"}) {
+                 observe(t, name, attempt_outcome::failed, 1, start);
+                 observe(t, name, attempt_outcome::failed, 1, start);
+             }
+             t.on_sent("a");
+         },
+         milliseconds(10), 1},
+    };
+    for (auto const& item : cases) {
+        CAPTURE(item.name);
+        backend_tracker tracker;
+        item.observed(tracker);
+        for (std::uint64_t seed = 0; seed < 8; ++seed) {
+            auto const choose = make_adaptive_chooser(tracker, seed);
+            CHECK(choose(two_replicas(), {false, false}, start + item.later) == item.pick);
+        }
+    }
+}
+
+TEST_CASE("an ejection ends by itself, doubles with further failures and is lifted by an answer")
+{
+    backend_tracker tracker;
+    auto const target = two_replicas()[0];
+    observe(tracker, "a", attempt_outcome::failed, 1, start);
+    CHECK(tracker.healthy(target, start));
+    observe(tracker, "a", attempt_outcome::failed, 1, start);
+    CHECK_FALSE(tracker.healthy(target, start + milliseconds(199)));
+    CHECK(tracker.healthy(target, start + milliseconds(200)));
+    observe(tracker, "a", attempt_outcome::failed, 1, start);
+    CHECK_FALSE(tracker.healthy(target, start + milliseconds(399)));
+    for (int i = 0; i < 20; ++i)
+        observe(tracker, "a", attempt_outcome::failed, 1, start);
+    CHECK_FALSE(tracker.healthy(target, start + milliseconds(4999)));
+    CHECK(tracker.healthy(target, start + milliseconds(5000)));
+    observe(tracker, "a", attempt_outcome::answered, 1, start + milliseconds(5000));
+    observe(tracker, "a", attempt_outcome::failed, 1, start + milliseconds(5000));
+    CHECK(tracker.healthy(target, start + milliseconds(5000)));
+}
+
+TEST_CASE("an overtaken request raises the average and never lowers it")
+{
+    backend_tracker tracker;
+    auto const target = two_replicas()[0];
+    observe(tracker, "a", attempt_outcome::answered, 100, start);
+    double const before = tracker.cost(target);
+    observe(tracker, "a", attempt_outcome::overtaken, 1, start);
+    CHECK(tracker.cost(target) == doctest::Approx(before));
+    observe(tracker, "a", attempt_outcome::overtaken, 1000, start);
+    CHECK(tracker.cost(target) > before);
+}
+
+TEST_CASE("a budget allows its burst, then only its share")
+{
+    token_budget budget(0.05, 2);
+    CHECK(budget.spend());
+    CHECK(budget.spend());
+    CHECK_FALSE(budget.spend());
+    budget.earn(19);
+    CHECK_FALSE(budget.spend());
+    budget.earn(2);
+    CHECK(budget.spend());
+    budget.earn(1000000);
+    CHECK(budget.spend());
+    CHECK(budget.spend());
+    CHECK_FALSE(budget.spend());
+}
+
+TEST_CASE("the latency window gives a quantile of the recent samples only")
+{
+    latency_window window;
+    CHECK_FALSE(window.quantile(0.95).has_value());
+    for (int i = 0; i < 2000; ++i)
+        window.add(microseconds(1000));
+    CHECK(window.quantile(0.95) == microseconds(1000));
+    for (int i = 0; i < 2000; ++i)
+        window.add(microseconds(i % 100 < 90 ? 2000 : 9000));
+    CHECK(window.quantile(0.95) == microseconds(9000));
+}
