Hedges no longer use up a shard's tries, and a refused hedge is replaced

Change: tries (first and retries) and hedges are counted apart; a hedge avoids only replicas that are at work on the shard now, and up to three hedges may follow one another.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -248,17 +248,18 @@
 
 /** Settings of scatter-gather. */
 struct gather_options {
-    milliseconds default_deadline{1000};  ///< Deadline when the caller gives none.
-    std::int32_t max_tries_per_shard = 4; ///< First try, retries and hedges of one shard.
-    milliseconds retry_backoff{10};       ///< Wait before a replica that failed is tried again.
-    double retry_ratio = 0.2;             ///< Retries allowed per shard request, in the long run.
-    double retry_burst = 200;             ///< Retries allowed at once.
-    bool hedge = true;                    ///< Send a second request for a slow shard.
-    double hedge_quantile = 0.95;         ///< A shard slower than this quantile of recent answers is hedged.
-    double hedge_ratio = 0.05;            ///< Hedges allowed per shard request, in the long run.
-    double hedge_burst = 50;              ///< Hedges allowed at once.
-    milliseconds hedge_min{1};            ///< Shortest hedge delay.
-    milliseconds hedge_initial{20};       ///< Hedge delay before latencies are known.
+    milliseconds default_deadline{1000};   ///< Deadline when the caller gives none.
+    std::int32_t max_tries_per_shard = 4;  ///< First try and retries of one shard.
+    std::int32_t max_hedges_per_shard = 3; ///< Hedges of one shard; they do not use up its tries.
+    milliseconds retry_backoff{10};        ///< Wait before a replica that failed is tried again.
+    double retry_ratio = 0.2;              ///< Retries allowed per shard request, in the long run.
+    double retry_burst = 200;              ///< Retries allowed at once.
+    bool hedge = true;                     ///< Send a second request for a slow shard.
+    double hedge_quantile = 0.95;          ///< A shard slower than this quantile of recent answers is hedged.
+    double hedge_ratio = 0.05;             ///< Hedges allowed per shard request, in the long run.
+    double hedge_burst = 50;               ///< Hedges allowed at once.
+    milliseconds hedge_min{1};             ///< Shortest hedge delay.
+    milliseconds hedge_initial{20};        ///< Hedge delay before latencies are known.
 };
 
 /** Gives the configuration in force now; hook used to re-pin a query whose index version was retired. */
--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -40,7 +40,8 @@
         std::vector<replica> const* candidates = nullptr; ///< Replicas holding the pinned version.
         std::vector<bool> tried;                          ///< Which were tried in this round.
         std::vector<attempt> open;                        ///< Requests not yet ended.
-        std::int32_t tries = 0;                           ///< Requests sent for this shard.
+        std::int32_t tries = 0;                           ///< First try and retries.
+        std::int32_t hedges = 0;                          ///< Requests sent while another was open.
         bool waiting = false;                             ///< A later retry is scheduled.
         bool may_repeat = false;                          ///< A replica failed in a way that may pass.
         bool settled = false;                             ///< Answered, or given up.
@@ -121,6 +122,7 @@
     if (slot.tries >= m_options.max_tries_per_shard || now >= state->deadline) return false;
     auto const pick = m_chooser(*slot.candidates, slot.tried, now);
     if (!pick) return false;
+    ++slot.tries;
     dispatch(state, shard, *pick, now);
     return true;
 }
@@ -129,7 +131,7 @@
 {
     auto& slot = state->shards[shard];
     slot.tried[pick] = true;
-    ++slot.tries;
+    std::int32_t const number = slot.tries + slot.hedges;
     ++state->counts.dispatched;
     auto const left = std::chrono::duration_cast<milliseconds>(state->deadline - now);
     shard_query message;
@@ -149,9 +151,10 @@
     m_tracker.on_sent(target.name);
     auto const call =
         m_client.submit(target.address, std::move(request), std::max(left, milliseconds(1)),
-                        [this, state, generation = state->generation, shard, number = slot.tries](
-                            client_result result) { on_result(state, generation, shard, number, std::move(result)); });
-    slot.open.push_back({slot.tries, pick, call, now});
+                        [this, state, generation = state->generation, shard, number](client_result result) {
+                            on_result(state, generation, shard, number, std::move(result));
+                        });
+    slot.open.push_back({number, pick, call, now});
 }
 
 void scatter_gather::on_result(state_ptr const& state, std::uint64_t generation, std::size_t shard, std::int32_t number,
@@ -253,15 +256,16 @@
     for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
         auto& slot = state->shards[shard];
         if (slot.settled || slot.open.empty() || now - slot.open.back().sent < delay) continue;
-        if (slot.tries >= m_options.max_tries_per_shard) continue;
-        auto pick = m_chooser(*slot.candidates, slot.tried, now);
-        if (!pick && slot.open.size() == slot.candidates->size()) {
-            // Every replica is slow on this shard: a second request to one of them may still be quick.
-            slot.tried.assign(slot.tried.size(), false);
-            pick = m_chooser(*slot.candidates, slot.tried, now);
-        }
+        if (slot.hedges >= m_options.max_hedges_per_shard) continue;
+        // A replica that is already at work on the shard is not asked again, unless every one is.
+        std::vector<bool> at_work(slot.candidates->size(), false);
+        for (auto const& item : slot.open)
+            at_work[item.candidate] = true;
+        if (slot.open.size() >= at_work.size()) at_work.assign(at_work.size(), false);
+        auto const pick = m_chooser(*slot.candidates, at_work, now);
         if (!pick) continue;
         if (!m_hedge_budget.spend()) break;
+        ++slot.hedges;
         dispatch(state, shard, *pick, now);
         ++state->counts.hedges;
     }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -28,7 +28,7 @@
     {"query.default_deadline_ms", setting_type::integer, setting_value{std::int64_t{1000}}, 1, 60000,
      "deadline of a query that gives none, in milliseconds"},
     {"query.max_tries_per_shard", setting_type::integer, setting_value{std::int64_t{4}}, 1, 10,
-     "first try, retries and hedges of one shard"},
+     "first try and retries of one shard"},
     {"query.policy", setting_type::text, setting_value{std::string("adaptive")}, 0, 0,
      "replica choice: adaptive (measured latency and load) or random (the plain baseline)"},
     {"query.retry_ratio", setting_type::floating, setting_value{0.2}, 0, 10,
--- a/tests/test_query_contract.cpp
+++ b/tests/test_query_contract.cpp
@@ -89,7 +89,7 @@
 TEST_CASE("a query under each fault: coverage, version and refusals are true")
 {
     struct fault_case {
-        char const* name;
+        std::string name;
         std::function<void(local_fleet&)> provoke;
         double coverage;     ///< Expected coverage; -1 when refused.
         char const* refusal; ///< Expected error kind when refused.
--- a/tests/test_write_contract.cpp
+++ b/tests/test_write_contract.cpp
@@ -50,7 +50,7 @@
 TEST_CASE("a write under each fault gets a true outcome and runs at most once")
 {
     struct fault_case {
-        char const* name;
+        std::string name;
         std::function<void(write_fleet&)> provoke;
         std::string first;  ///< Outcome of the first submission.
         std::string second; ///< Outcome of a second one on the other entry node, after the fault is gone.
