After a store outage the watch goes on from where it was

Cause: any failed watch call made the entry node read the whole configuration again.

Change: once synced, the watcher watches again from its last revision and reads everything only when the store no longer has the history; the wait after a failure is spread over one to two retry delays.

Conclusion: an outage costs each node the changes it missed, not the configuration.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -70,8 +70,9 @@
 
 /**
  * A task that keeps a config_view equal to the store: a full read, then watches from the read's
- * revision. On any failure it waits and reads everything again; the view's monotonic rule keeps a
- * stale read from reverting what was applied.
+ * revision. After a failure it waits and watches again from where it was; it reads everything again only
+ * when the store no longer has the history. The view's monotonic rule keeps a stale read from reverting
+ * what was applied.
  */
 class config_watcher {
 public:
--- a/src/coordination/config_watcher.cpp
+++ b/src/coordination/config_watcher.cpp
@@ -6,6 +6,8 @@
 
 /** Longest a single watch call waits for a change. */
 constexpr milliseconds watch_wait{3000};
+/** The wait after a failure lies between one and two retry delays, in this many steps. */
+constexpr int spread_steps = 64;
 
 } // namespace
 
@@ -31,6 +33,7 @@
 void config_watcher::run()
 {
     auto logger = get_logger("entry.config");
+    std::minstd_rand random(std::random_device{}());
     bool need_full_read = true;
     std::int64_t after = 0;
     while (!m_stopping) {
@@ -60,8 +63,9 @@
             after = last;
         } catch (error const& failure) {
             LOG4CPLUS_WARN(logger, "store watch failed: " << failure.what());
-            need_full_read = true;
-            auto const until = clock::now() + m_retry_delay;
+            // Once synced, the watch goes on from where it was: after an outage no fleet reads everything at once.
+            // The wait is spread so that its calls do not come at one moment either.
+            auto const until = clock::now() + m_retry_delay + m_retry_delay * (random() % spread_steps) / spread_steps;
             while (!m_stopping && clock::now() < until)
                 std::this_thread::sleep_for(milliseconds(20));
         }
--- a/tests/local_fleet.cpp
+++ b/tests/local_fleet.cpp
@@ -47,7 +47,13 @@
     request.method = "POST";
     request.path = path;
     request.body = body.dump();
-    return client.call(address(), std::move(request), fault_timeout).response;
+    client_result result;
+    // The connection may have been silenced by an earlier fault; a new one works.
+    eventually([&] {
+        result = client.call(address(), request, fault_timeout);
+        return result.outcome == send_outcome::answered;
+    });
+    return result.response;
 }
 
 void local_store::fault(nlohmann::json const& body) { post(paths::fault, body); }
--- a/tests/test_coordination_contract.cpp
+++ b/tests/test_coordination_contract.cpp
@@ -315,6 +315,25 @@
     CHECK(eventually([&] { return view.current()->revision >= last; }));
 }
 
+TEST_CASE("after an outage the watch goes on from where it was, without a full read")
+{
+    local_fleet fleet(2, 3, 2, 2);
+    REQUIRE(fleet.converged(fleet.publish()));
+    auto const full_reads = [&] {
+        auto const calls = nlohmann::json::parse(fleet.store.post(paths::stats, {}).body);
+        return calls.value(store_paths::range, 0);
+    };
+    auto const before = full_reads();
+    fleet.store.fault({{"outage_ms", 600}});
+    std::this_thread::sleep_for(milliseconds(200));
+    fleet.store.server.silence_open_connections();
+    fleet.published_version = 2;
+    fleet.load_version(2, 3);
+    fleet.versions = {1, 2};
+    CHECK(fleet.converged(fleet.publish()));
+    CHECK(full_reads() == before);
+}
+
 TEST_CASE("a leaving back end gets no new work, whichever signal tells of it")
 {
     struct signal_case {
