--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -51,6 +51,7 @@
     };
 
     query_request query;                             ///< The caller's request.
+    std::vector<std::string> terms;                  ///< Its words, split once for all shards.
     std::shared_ptr<config_snapshot const> snapshot; ///< Configuration routed by.
     std::int64_t version = 0;                        ///< Pinned index version.
     std::uint64_t generation = 0;                    ///< Raised when the query starts over.
@@ -85,6 +86,7 @@
     milliseconds const budget = query.deadline_ms > 0 ? milliseconds(query.deadline_ms) : m_options.default_deadline;
     state->deadline = clock::now() + budget;
     state->query = std::move(query);
+    state->terms = split_terms(state->query.query);
     state->done = std::move(done);
     m_client.post([this, state, snapshot = std::move(snapshot)] { start(state, snapshot); });
 }
@@ -139,7 +141,7 @@
     message.service = state->query.service;
     message.shard = static_cast<std::int32_t>(shard);
     message.index_version = state->version;
-    message.terms = split_terms(state->query.query);
+    message.terms = state->terms;
     message.k = state->query.k;
     message.deadline_ms = std::max<std::int64_t>(1, left.count());
     http_request request;
--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
 #include <thread>
 
 extern char** environ;
@@ -54,6 +55,7 @@
         kill(pid, SIGTERM);
     for (auto const& [name, pid] : m_children)
         wait_exit(pid);
+    if (std::getenv("CORNEL_KEEP_LOGS") == nullptr) std::filesystem::remove_all(m_folder);
 }
 
 std::uint16_t process_group::start(std::string const& name, std::string const& binary,
@@ -82,7 +84,7 @@
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    throw error(error_kind::unavailable, name + " did not get ready; see " + path(name + ".log") + ".",
+    throw error(error_kind::unavailable, name + " did not get ready; its log: " + read_file(path(name + ".log")),
                 "Read the child's log.");
 }
 
--- a/tests/test_failures.cpp
+++ b/tests/test_failures.cpp
@@ -76,6 +76,66 @@
     CHECK(stopped.get() == 0);
 }
 
+TEST_CASE("SIGTERM on an entry node finishes the writes in flight, and each ran once")
+{
+    deployment d(roomy_slots);
+    REQUIRE(d.apply(d.resources(1)) == 0);
+    d.wait_until_whole();
+    for (auto port : d.backends)
+        REQUIRE(d.fault(port, {{"delay_ms", 1500}, {"delay_probability", 1.0}}) == 200);
+    std::vector<std::future<client_result>> results;
+    for (int i = 0; i < in_flight; ++i) {
+        results.push_back(std::async(std::launch::async, [&d, i] {
+            http_client caller;
+            http_request request;
+            request.method = "POST";
+            request.path = paths::writes;
+            request.body =
+                nlohmann::json(write_request{"svc", "w" + std::to_string(i), "course", "seat", long_deadline_ms})
+                    .dump();
+            return caller.call({"127.0.0.1", d.entry}, std::move(request), milliseconds(long_deadline_ms));
+        }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500)); // let the writes reach the back ends
+    CHECK(d.group.stop("entry", SIGTERM) == 0);
+    for (auto& result : results) {
+        auto const reply = result.get();
+        REQUIRE(reply.outcome == send_outcome::answered);
+        CHECK(reply.response.status == 200);
+    }
+    std::map<std::string, int> runs;
+    for (auto port : d.backends) {
+        http_request request;
+        request.path = paths::journal;
+        auto const reply = d.peers.call({"127.0.0.1", port}, std::move(request), milliseconds(5000));
+        auto const journal = nlohmann::json::parse(reply.response.body);
+        for (auto const& entry : journal["entries"]) {
+            if (entry["write"] == true && entry["event"] == "ran") ++runs[entry["id"]];
+        }
+    }
+    CHECK(runs.size() == in_flight);
+    for (auto const& [key, count] : runs)
+        CHECK(count == 1);
+}
+
+TEST_CASE("queries stay whole while a back end is frozen by SIGSTOP, and after it wakes")
+{
+    deployment d(roomy_slots);
+    REQUIRE(d.apply(d.resources(1)) == 0);
+    d.wait_until_whole();
+    auto const ask = [&d] {
+        auto const result = d.send("POST", paths::query, R"({"service":"svc","query":"sea","deadline_ms":4000})");
+        REQUIRE(result.response.status == 200);
+        CHECK(parse_message<query_answer>(result.response.body, "answer").coverage == doctest::Approx(1.0));
+    };
+    d.group.stop("b0", SIGSTOP);
+    for (int i = 0; i < 10; ++i)
+        ask();
+    d.group.stop("b0", SIGCONT);
+    for (int i = 0; i < 10; ++i)
+        ask();
+}
+
 TEST_CASE("SIGTERM on a back end finishes the searches it holds")
 {
     deployment d(roomy_slots);
