A back end not yet seen is tried

Cause: with hedging switched off on the trial copy "a query under each fault" still passed: the straggling back end was never asked. A back end without samples counted as 10 ms, one with samples as the 0.3 ms that it takes here, so an unseen one lost for good: spare replicas stayed unused (and the proof met nothing).

Change: an unseen back end counts as 0.1 ms, so it gets requests until its first answers show what it is.

Figures: new row "b was never seen: it is tried" fails before, passes after; with hedging off the fault table now fails ("one back end loses answers"), with it on it passes.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -188,7 +188,7 @@
     double latency_weight = 0.2;        ///< Weight of a new latency sample in the moving average.
     double outlier_factor = 4;          ///< A sample counts as at most this many times the average.
     milliseconds forget_half_life{500}; ///< Without samples, the average halves in this time, so it is tried again.
-    milliseconds initial_latency{10};   ///< Latency assumed of a back end not yet seen.
+    std::chrono::microseconds initial_latency{100}; ///< Assumed of a back end not yet seen: low, so that it is tried.
 };
 
 /**
--- a/tests/test_policy.cpp
+++ b/tests/test_policy.cpp
@@ -38,6 +38,8 @@
              observe(t, "b", attempt_outcome::answered, 5, start);
          },
          milliseconds(0), 1},
+        {"b was never seen: it is tried",
+         [](backend_tracker& t) { observe(t, "a", attempt_outcome::answered, 1, start); }, milliseconds(0), 1},
         {"a has a queue",
          [](backend_tracker& t) {
              for (int i = 0; i < 4; ++i)
