--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,15 +14,16 @@
 class Fleet:
     """The processes of one run."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, log_level="warn"):
         self.folder = pathlib.Path(folder)
+        self.log_level = log_level
         self.children = []
 
     def start(self, name, binary, settings):
         """Starts a process; returns the ports that it wrote to its ready file."""
         ready = self.folder / f"{name}.port"
         settings = dict(settings, ready_file=json.dumps(str(ready)))
-        args = [str(BIN / binary), "--log-level", "warn"]
+        args = [str(BIN / binary), "--log-level", self.log_level]
         for key, value in settings.items():
             args += ["--set", f"{key}={value}"]
         log = open(self.folder / f"{name}.log", "w")
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -1,6 +1,7 @@
 /** @file entry_service.cpp Caller API of the entry node. */
 #include "entry_service.hpp"
 
+#include <algorithm>
 #include <iomanip>
 #include <sstream>
 
@@ -99,7 +100,7 @@
                                "Use POST /v1/query, POST /v1/writes, GET /v1/entries, /healthz or /metrics.")));
 }
 
-http_response entry_service::draining_refusal() const
+http_response entry_service::draining_refusal()
 {
     auto response = error_response(error(error_kind::not_run, "this entry node is stopping; the request did not run.",
                                          "Send it to another address from 'entries'."),
@@ -169,7 +170,7 @@
     });
 }
 
-std::vector<std::string> entry_service::other_entries(bool include_self) const
+std::vector<std::string> entry_service::other_entries(bool include_self)
 {
     auto const snapshot = m_view.current();
     std::vector<std::string> near;
@@ -178,11 +179,15 @@
         if (!include_self && id == m_config.id) continue;
         (node.zone == m_config.zone ? near : far).push_back(node.address);
     }
+    // Each caller gets another order and, in a large fleet, another part, so that callers spread over the nodes.
+    std::shuffle(near.begin(), near.end(), m_random);
+    std::shuffle(far.begin(), far.end(), m_random);
     near.insert(near.end(), far.begin(), far.end());
+    near.resize(std::min(near.size(), m_config.entries_limit));
     return near;
 }
 
-http_response entry_service::entries() const
+http_response entry_service::entries()
 {
     entry_list list;
     list.addresses = other_entries(!m_draining);
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -16,6 +16,7 @@
 struct entry_config {
     std::string id;                  ///< Entry node id.
     std::string zone;                ///< Failure domain.
+    std::size_t entries_limit = 16;  ///< Most addresses given to one caller.
     std::int64_t entries_ttl_s = 30; ///< How long callers keep the address list.
 };
 
@@ -44,15 +45,15 @@
     /** Handles POST /v1/writes. */
     void write(http_request const& request, reply_fn reply);
     /** @return the refusal sent while this node drains: not run, with the other entry addresses. */
-    http_response draining_refusal() const;
+    http_response draining_refusal();
     /** @return the answer to GET /healthz. */
     http_response health() const;
     /** @return the metrics as Prometheus text. */
     http_response metrics_text();
     /** @return the answer to GET /v1/entries. */
-    http_response entries() const;
-    /** @return the addresses of other live entry nodes, same zone first. */
-    std::vector<std::string> other_entries(bool include_self) const;
+    http_response entries();
+    /** @return addresses of live entry nodes, same zone first, shuffled, at most entries_limit. */
+    std::vector<std::string> other_entries(bool include_self);
     /** @return a new request id. */
     std::string new_request_id();
 
@@ -71,7 +72,7 @@
     prometheus::Gauge& m_revision;                             ///< Configuration revision in force.
     prometheus::Gauge& m_violations;                           ///< Invariant violations.
     std::atomic<bool> m_draining{false};                       ///< Set at SIGTERM.
-    std::mt19937_64 m_random{std::random_device{}()};          ///< Request ids.
+    std::mt19937_64 m_random{std::random_device{}()};          ///< Request ids and shuffles; service thread only.
 };
 
 } // namespace cornelspring
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -25,6 +25,8 @@
      "time to live of the membership lease, in seconds"},
     {"entries_ttl_s", setting_type::integer, setting_value{std::int64_t{30}}, 1, 3600,
      "how long callers keep the list of entry addresses, in seconds"},
+    {"entries_limit", setting_type::integer, setting_value{std::int64_t{16}}, 1, 1000,
+     "most entry addresses given to one caller; same zone first"},
     {"query.default_deadline_ms", setting_type::integer, setting_value{std::int64_t{1000}}, 1, 60000,
      "deadline of a query that gives none, in milliseconds"},
     {"query.max_tries_per_shard", setting_type::integer, setting_value{std::int64_t{4}}, 1, 10,
@@ -122,7 +124,11 @@
         vm_list = std::make_unique<vm_list_watcher>(client, tracker, listing);
     }
 
-    entry_config identity{config.text("id"), config.text("zone"), config.integer("entries_ttl_s")};
+    entry_config identity;
+    identity.id = config.text("id");
+    identity.zone = config.text("zone");
+    identity.entries_limit = static_cast<std::size_t>(config.integer("entries_limit"));
+    identity.entries_ttl_s = config.integer("entries_ttl_s");
     entry_service service(identity, view, gather, *writes, std::make_shared<prometheus::Registry>());
     service.set_transport_stats([&client] { return client.stats(); });
     server_options listen;
