--- a/include/cornelspring/base.hpp
+++ b/include/cornelspring/base.hpp
@@ -13,6 +13,7 @@
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <nlohmann/json.hpp>
 
 namespace cornelspring {
 
@@ -172,6 +173,13 @@
 settings load_settings(std::string const& toml_text, std::vector<std::string> const& overrides,
                        std::vector<setting_def> const& defs, std::string const& source);
 
+/**
+ * Parses TOML text to the same document as JSON, so that one kind of reader serves both formats.
+ * @param toml_text the TOML. @param source file name, for messages. @param kind kind of the error thrown.
+ * @return the document. @throw error of @p kind naming the line.
+ */
+nlohmann::json toml_to_json(std::string const& toml_text, std::string const& source, error_kind kind);
+
 /** @return the help text of @p defs, one line per key with its default and range. @param defs table. */
 std::string describe_settings(std::vector<setting_def> const& defs);
 
@@ -206,6 +214,30 @@
  */
 settings load_settings_file(common_options const& options, std::vector<setting_def> const& defs);
 
+/** Name and settings of a program. */
+struct program_info {
+    std::string name;                     ///< Binary name, for --help, logs and errors.
+    std::string summary;                  ///< One line saying what it does.
+    std::vector<setting_def> const& defs; ///< Settings table.
+};
+
+/** What a program does once its command line and settings are checked; returns the exit status. */
+using program_body = std::function<int(settings const& config, std::vector<std::string> const& args)>;
+
+/** Exit status of a failed program. */
+inline constexpr int exit_failure = 2;
+/** Exit status when a write lost against another writer (error kind conflict). */
+inline constexpr int exit_conflict = 3;
+
+/**
+ * The frame shared by every main(): parses the command line, starts logging, checks the settings, runs
+ * @p body, and turns an exception into a message on standard error and an exit status.
+ * @param program name and settings. @param argc argument count from main. @param argv arguments from main.
+ * @param body the program.
+ * @return 0 after --help or --version, the body's status, exit_conflict or exit_failure.
+ */
+int run_program(program_info const& program, int argc, char const** argv, program_body const& body);
+
 /** Host and port of a TCP listener or peer. */
 struct endpoint {
     std::string host;     ///< IPv4 or IPv6 address, or "localhost".
--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -178,6 +178,9 @@
     failed,    ///< Connection lost, timeout, or an answer that cannot be used.
 };
 
+/** @return how a request that gave no usable answer ended. @param result its result. */
+attempt_outcome classify_failure(client_result const& result);
+
 /** Settings of the back-end tracker. */
 struct tracker_options {
     milliseconds eject_base{200};       ///< First ejection after repeated failures; doubles up to eject_max.
--- a/include/cornelspring/transport.hpp
+++ b/include/cornelspring/transport.hpp
@@ -33,6 +33,9 @@
     bool is_cancelled() const { return cancelled != nullptr && cancelled->load(); }
 };
 
+/** @return a POST of @p json_text as application/json. @param path path. @param json_text body. */
+http_request json_post(std::string path, std::string json_text);
+
 /** A response. */
 struct http_response {
     int status = 200;                 ///< HTTP status.
--- a/src/backend/main.cpp
+++ b/src/backend/main.cpp
@@ -1,7 +1,6 @@
 /** @file main.cpp cornel-backend: stand-in for a back end holding shards of the corpus, served over HTTP/2. */
 #include "backend_service.hpp"
 
-#include <iostream>
 #include <memory>
 #include <sstream>
 
@@ -107,12 +106,8 @@
 }
 
 /** Runs the back ends until SIGTERM. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const&)
 {
-    auto const options = parse_command_line("cornel-backend", "back-end stand-in", argc, argv, backend_settings);
-    if (options.exit_now) return 0;
-    init_logging("cornel-backend", options.log_level);
-    auto const config = load_settings_file(options, backend_settings);
     install_stop_signals();
     auto const configs = make_configs(config);
     auto const corpus =
@@ -145,10 +140,6 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (cornelspring::error const& failure) {
-        std::cerr << "cornel-backend: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-backend", "back-end stand-in", backend_settings}, argc, argv, run);
 }
--- a/src/base/cli.cpp
+++ b/src/base/cli.cpp
@@ -81,4 +81,20 @@
     return load_settings(text, options.overrides, defs, source);
 }
 
+int run_program(program_info const& program, int argc, char const** argv, program_body const& body)
+{
+    try {
+        auto const options = parse_command_line(program.name, program.summary, argc, argv, program.defs);
+        if (options.exit_now) return 0;
+        init_logging(program.name, options.log_level);
+        return body(load_settings_file(options, program.defs), options.args);
+    } catch (error const& failure) {
+        std::cerr << program.name << ": " << to_string(failure.kind()) << ": " << failure.what() << "\n";
+        return failure.kind() == error_kind::conflict ? exit_conflict : exit_failure;
+    } catch (std::exception const& failure) {
+        std::cerr << program.name << ": " << failure.what() << "\n";
+        return exit_failure;
+    }
+}
+
 } // namespace cornelspring
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -100,15 +100,15 @@
     }
 }
 
-/** @return the document parsed from @p text. @throw error bad_settings on a syntax error. */
-toml::table parse_document(std::string const& text, std::string const& source)
+/** @return the document parsed from @p text. @throw error of @p kind on a syntax error. */
+toml::table parse_document(std::string const& text, std::string const& source, error_kind kind)
 {
     try {
         return toml::parse(text, source);
     } catch (toml::parse_error const& failure) {
         std::ostringstream where;
         where << source << ":" << failure.source().begin.line << ": " << failure.description();
-        throw error(error_kind::bad_settings, where.str(), "Fix the TOML syntax at that line.");
+        throw error(kind, where.str(), "Fix the TOML syntax at that line.");
     }
 }
 
@@ -118,9 +118,9 @@
                        std::vector<setting_def> const& defs, std::string const& source)
 {
     std::vector<toml::table> documents;
-    documents.push_back(parse_document(toml_text, source));
+    documents.push_back(parse_document(toml_text, source, error_kind::bad_settings));
     for (auto const& line : overrides) {
-        documents.push_back(parse_document(line, "--set " + line));
+        documents.push_back(parse_document(line, "--set " + line, error_kind::bad_settings));
     }
     flat_table leaves;
     for (auto const& document : documents) {
@@ -158,6 +158,13 @@
     return result;
 }
 
+nlohmann::json toml_to_json(std::string const& toml_text, std::string const& source, error_kind kind)
+{
+    std::ostringstream as_json;
+    as_json << toml::json_formatter(parse_document(toml_text, source, kind));
+    return nlohmann::json::parse(as_json.str());
+}
+
 std::string describe_settings(std::vector<setting_def> const& defs)
 {
     std::ostringstream out;
--- a/src/coordination/backend_tracker.cpp
+++ b/src/coordination/backend_tracker.cpp
@@ -17,9 +17,21 @@
 constexpr double near_factor = 1.3;
 /** Largest doubling of the first ejection. */
 constexpr int max_eject_doublings = 10;
+/** HTTP status of a back end that does not hold the shard at the pinned version. */
+constexpr int status_not_held = 409;
+/** HTTP status of a back end that sheds load or drains. */
+constexpr int status_unavailable = 503;
 
 } // namespace
 
+attempt_outcome classify_failure(client_result const& result)
+{
+    if (result.outcome != send_outcome::answered) return attempt_outcome::failed;
+    if (result.response.status == status_not_held) return attempt_outcome::refused;
+    if (result.response.status != status_unavailable) return attempt_outcome::failed;
+    return result.response.header(draining_header).empty() ? attempt_outcome::shed : attempt_outcome::draining;
+}
+
 bool token_budget::spend()
 {
     if (m_tokens < 1.0) return false;
--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -8,21 +8,8 @@
 
 /** Seconds a caller is told to wait when no shard could answer. */
 constexpr int no_answer_retry_after_s = 1;
-/** HTTP status of a back end that does not hold the shard at the pinned version. */
-constexpr int status_not_held = 409;
-/** HTTP status of a back end that sheds load or drains. */
-constexpr int status_unavailable = 503;
-
 using std::chrono::microseconds;
 
-/** @return how a shard request that gave no usable answer ended, for the tracker. */
-attempt_outcome classify_failure(client_result const& result)
-{
-    if (result.outcome != send_outcome::answered) return attempt_outcome::failed;
-    if (result.response.status != status_unavailable) return attempt_outcome::failed;
-    return result.response.header(draining_header).empty() ? attempt_outcome::shed : attempt_outcome::draining;
-}
-
 } // namespace
 
 /** One request of a shard that is still open. */
@@ -144,11 +131,7 @@
     message.terms = state->terms;
     message.k = state->query.k;
     message.deadline_ms = std::max<std::int64_t>(1, left.count());
-    http_request request;
-    request.method = "POST";
-    request.path = paths::shard_search;
-    request.headers.push_back({"content-type", "application/json"});
-    request.body = nlohmann::json(message).dump();
+    auto request = json_post(paths::shard_search, nlohmann::json(message).dump());
     auto const& target = (*slot.candidates)[pick];
     m_tracker.on_sent(target.name);
     auto const call =
@@ -182,10 +165,13 @@
         maybe_finish(state);
         return;
     }
-    bool const not_held = result.outcome == send_outcome::answered && result.response.status == status_not_held;
-    if (not_held) state->version_missing = true;
-    if (!not_held) slot.may_repeat = true;
-    m_tracker.on_ended(target.name, not_held ? attempt_outcome::refused : classify_failure(result), took, now);
+    auto const failure = classify_failure(result);
+    if (failure == attempt_outcome::refused) {
+        state->version_missing = true;
+    } else {
+        slot.may_repeat = true;
+    }
+    m_tracker.on_ended(target.name, failure, took, now);
     if (slot.open.empty()) retry_shard(state, shard);
 }
 
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -28,12 +28,7 @@
 
 nlohmann::json store_client::call(std::string const& path, nlohmann::json const& body, milliseconds timeout)
 {
-    http_request request;
-    request.method = "POST";
-    request.path = path;
-    request.headers.push_back({"content-type", "application/json"});
-    request.body = body.dump();
-    auto result = m_client.call(m_store, std::move(request), timeout);
+    auto result = m_client.call(m_store, json_post(path, body.dump()), timeout);
     if (result.outcome == send_outcome::not_sent) {
         throw error(error_kind::not_run,
                     "the store at " + m_store.to_string() + " was not reached: " + result.detail + ".",
--- a/src/coordination/write_coordinator.cpp
+++ b/src/coordination/write_coordinator.cpp
@@ -8,10 +8,6 @@
 
 /** Seconds a caller is told to wait after a refusal. */
 constexpr int refused_retry_after_s = 1;
-/** HTTP status of a back end that sheds load or drains. */
-constexpr int status_unavailable = 503;
-/** HTTP status of a back end that does not hold the shard. */
-constexpr int status_not_held = 409;
 /** A retention lease takes records for this fraction of the retention before the next is granted. */
 constexpr std::int64_t leases_per_retention = 4;
 
@@ -270,15 +266,10 @@
             result.expired = !result.reached;
             return result;
         }
-        http_request message;
-        message.method = "POST";
-        message.path = paths::shard_write;
-        message.headers.push_back({"content-type", "application/json"});
-        message.body =
-            nlohmann::json(shard_write{request.idempotency_key, request.service, shard, request.body, left.count()})
-                .dump();
+        shard_write const message{request.idempotency_key, request.service, shard, request.body, left.count()};
         note(target.name, std::nullopt, {});
-        auto const reply = m_client.call(target.address, std::move(message), left);
+        auto const reply =
+            m_client.call(target.address, json_post(paths::shard_write, nlohmann::json(message).dump()), left);
         auto const took = std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - begun);
         if (reply.outcome == send_outcome::answered && reply.response.status == 200) {
             note(target.name, attempt_outcome::answered, took);
@@ -287,20 +278,13 @@
                 write_answer{request.idempotency_key, request.service, reply.response.body, target.name, false};
             return result;
         }
-        if (reply.outcome == send_outcome::not_sent) {
-            note(target.name, attempt_outcome::failed, took);
-            continue; // it never left this process: another replica may run it
-        }
+        auto const failure = classify_failure(reply);
+        note(target.name, failure, took);
+        if (reply.outcome == send_outcome::not_sent) continue; // it never left this process: another may run it
         result.reached = true;
-        bool const refused = reply.outcome == send_outcome::answered &&
-                             (reply.response.status == status_unavailable || reply.response.status == status_not_held);
-        if (!refused) {
-            note(target.name, attempt_outcome::failed, took);
-            result.maybe_ran = true;
-            return result;
-        }
-        bool const draining = !reply.response.header(draining_header).empty();
-        note(target.name, draining ? attempt_outcome::draining : attempt_outcome::shed, took);
+        if (failure != attempt_outcome::failed) continue; // refused explicitly: it did not run there
+        result.maybe_ran = true;
+        return result;
     }
     return result;
 }
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -136,15 +136,8 @@
 }
 
 /** Runs one command. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const& args)
 {
-    auto const options = parse_command_line("cornel-ctl", "operator command line", argc, argv, ctl_settings);
-    if (options.exit_now) {
-        return 0;
-    }
-    init_logging("cornel-ctl", options.log_level);
-    auto const config = load_settings_file(options, ctl_settings);
-    auto const& args = options.args;
     std::string const& command = argument(args, 0, "command");
     h2_client client;
     store_client store(client, parse_endpoint(config.text("store.address")),
@@ -169,13 +162,6 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (cornelspring::error const& failure) {
-        std::cerr << "cornel-ctl: " << cornelspring::to_string(failure.kind()) << ": " << failure.what() << "\n";
-        return failure.kind() == cornelspring::error_kind::conflict ? 3 : 2;
-    } catch (std::exception const& failure) {
-        std::cerr << "cornel-ctl: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-ctl", "operator command line", ctl_settings}, argc, argv, run);
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,7 +1,6 @@
 /** @file main.cpp cornel-entry: the entry node. */
 #include "entry_service.hpp"
 
-#include <iostream>
 #include <unistd.h>
 
 namespace cornelspring {
@@ -89,12 +88,8 @@
 }
 
 /** Runs the entry node until SIGTERM. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const&)
 {
-    auto const options = parse_command_line("cornel-entry", "entry node", argc, argv, entry_settings);
-    if (options.exit_now) return 0;
-    init_logging("cornel-entry", options.log_level);
-    auto const config = load_settings_file(options, entry_settings);
     install_stop_signals();
     auto logger = get_logger("entry");
 
@@ -169,10 +164,6 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (cornelspring::error const& failure) {
-        std::cerr << "cornel-entry: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-entry", "entry node", entry_settings}, argc, argv, run);
 }
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -24,17 +24,6 @@
     return request;
 }
 
-/** @return a JSON POST. */
-http_request post(char const* path, nlohmann::json const& body)
-{
-    http_request request;
-    request.method = "POST";
-    request.path = path;
-    request.headers.push_back({"content-type", "application/json"});
-    request.body = body.dump();
-    return request;
-}
-
 } // namespace
 
 load_run::load_run(scenario plan) : m_plan(std::move(plan)), m_random(m_plan.seed) {}
@@ -73,7 +62,7 @@
 {
     while (m_next_fault < m_plan.faults.size() && m_plan.faults[m_next_fault].at_s <= now_s) {
         auto const& fault = m_plan.faults[m_next_fault++];
-        m_peers.submit(fault.target, post(paths::fault, fault.body), control_timeout, [](client_result) {});
+        m_peers.submit(fault.target, json_post(paths::fault, fault.body.dump()), control_timeout, [](client_result) {});
     }
 }
 
@@ -110,14 +99,14 @@
     if (sample.is_write) {
         sample.key = id;
         write_request const write{group.service, id, word(), "booking " + id, group.deadline_ms};
-        request = post(paths::writes, write);
+        request = json_post(paths::writes, nlohmann::json(write).dump());
     } else {
         query_request query;
         query.service = group.service;
         query.query = word() + " " + word();
         query.deadline_ms = group.deadline_ms;
         query.request_id = id;
-        request = post(paths::query, query);
+        request = json_post(paths::query, nlohmann::json(query).dump());
     }
     auto const due = m_start + std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(item.at_s));
     {
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -12,18 +12,13 @@
 };
 
 /** Runs one scenario. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const& args)
 {
-    auto const options = parse_command_line("cornel-load", "load and experiment tool: cornel-load SCENARIO.toml", argc,
-                                            argv, load_settings_table);
-    if (options.exit_now) return 0;
-    init_logging("cornel-load", options.log_level);
-    auto const config = load_settings_file(options, load_settings_table);
-    if (options.args.size() != 1) {
+    if (args.size() != 1) {
         throw error(error_kind::bad_settings, "cornel-load takes one scenario file.",
                     "Run 'cornel-load --set results=\"out.json\" SCENARIO.toml'.");
     }
-    std::string const& path = options.args.front();
+    std::string const& path = args.front();
     load_run load(parse_scenario(read_file(path), path));
     auto const results = load.run();
     write_file_atomic(config.text("results"), results.dump(1) + "\n");
@@ -40,10 +35,7 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (std::exception const& failure) {
-        std::cerr << "cornel-load: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-load", "load and experiment tool: cornel-load SCENARIO.toml", load_settings_table},
+                       argc, argv, run);
 }
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -3,9 +3,6 @@
 
 #include <algorithm>
 #include <set>
-#include <sstream>
-
-#include <toml++/toml.h>
 
 namespace cornelspring {
 namespace {
@@ -92,16 +89,7 @@
 
 scenario parse_scenario(std::string const& text, std::string const& source)
 {
-    nlohmann::json document;
-    try {
-        std::ostringstream as_json;
-        as_json << toml::json_formatter(toml::parse(text, source));
-        document = nlohmann::json::parse(as_json.str());
-    } catch (toml::parse_error const& failure) {
-        std::ostringstream where;
-        where << source << ":" << failure.source().begin.line << ": " << failure.description();
-        throw error(error_kind::bad_settings, where.str(), "Fix the TOML syntax at that line.");
-    }
+    auto const document = toml_to_json(text, source, error_kind::bad_settings);
     only_keys(document, {"name", "seed", "duration_s", "warmup_s", "entries", "backends", "caller", "fault"}, source);
     scenario out;
     out.name = read<std::string>(document, "name", source, source);
--- a/src/report/main.cpp
+++ b/src/report/main.cpp
@@ -14,18 +14,13 @@
 };
 
 /** Renders the page. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const& args)
 {
-    auto const options = parse_command_line("cornel-report", "service-level burn report: cornel-report RESULTS.json...",
-                                            argc, argv, report_settings);
-    if (options.exit_now) return 0;
-    init_logging("cornel-report", options.log_level);
-    auto const config = load_settings_file(options, report_settings);
-    if (options.args.empty()) {
+    if (args.empty()) {
         throw error(error_kind::bad_settings, "no results file is given.", "Run 'cornel-report RESULTS.json'.");
     }
     std::vector<nlohmann::json> results;
-    for (auto const& path : options.args) {
+    for (auto const& path : args) {
         results.push_back(nlohmann::json::parse(read_file(path), nullptr, false));
         if (results.back().is_discarded()) {
             throw error(error_kind::bad_request, path + " is not JSON.", "Give a file written by cornel-load.");
@@ -41,10 +36,7 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (std::exception const& failure) {
-        std::cerr << "cornel-report: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-report", "service-level burn report: cornel-report RESULTS.json...", report_settings},
+                       argc, argv, run);
 }
--- a/src/state/resources.cpp
+++ b/src/state/resources.cpp
@@ -3,9 +3,6 @@
 
 #include <algorithm>
 #include <set>
-#include <sstream>
-
-#include <toml++/toml.h>
 
 namespace cornelspring {
 namespace {
@@ -212,17 +209,7 @@
         if (document.is_discarded()) refuse(source, "is not valid JSON");
         list = document.is_array() ? document : document.value("resources", nlohmann::json::array());
     } else {
-        toml::table table;
-        try {
-            table = toml::parse(text, source);
-        } catch (toml::parse_error const& failure) {
-            std::ostringstream where;
-            where << source << ":" << failure.source().begin.line << ": " << failure.description();
-            throw error(error_kind::bad_request, where.str(), "Fix the TOML syntax at that line.");
-        }
-        std::ostringstream as_json;
-        as_json << toml::json_formatter(table);
-        auto const document = nlohmann::json::parse(as_json.str());
+        auto const document = toml_to_json(text, source, error_kind::bad_request);
         for (auto const& [kind, items] : document.items())
             parse_kind(kind);
         for (std::string const kind : {"service", "backend", "route"}) {
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -3,8 +3,6 @@
 
 #include <cornelspring/transport.hpp>
 
-#include <iostream>
-
 namespace cornelspring {
 namespace {
 
@@ -20,12 +18,8 @@
 };
 
 /** Runs the store until SIGTERM. */
-int run(int argc, char const** argv)
+int run(settings const& config, std::vector<std::string> const&)
 {
-    auto const options = parse_command_line("cornel-store", "key-value store stand-in", argc, argv, store_settings);
-    if (options.exit_now) return 0;
-    init_logging("cornel-store", options.log_level);
-    auto const config = load_settings_file(options, store_settings);
     install_stop_signals();
     store_service service(static_cast<std::size_t>(config.integer("history_limit")));
     server_options listen;
@@ -49,10 +43,6 @@
 
 int main(int argc, char const** argv)
 {
-    try {
-        return cornelspring::run(argc, argv);
-    } catch (cornelspring::error const& failure) {
-        std::cerr << "cornel-store: " << failure.what() << "\n";
-        return 2;
-    }
+    using namespace cornelspring;
+    return run_program({"cornel-store", "key-value store stand-in", store_settings}, argc, argv, run);
 }
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -151,6 +151,16 @@
 std::string http_request::header(std::string const& name) const { return find_header(headers, name); }
 std::string http_response::header(std::string const& name) const { return find_header(headers, name); }
 
+http_request json_post(std::string path, std::string json_text)
+{
+    http_request request;
+    request.method = "POST";
+    request.path = std::move(path);
+    request.headers.push_back({"content-type", "application/json"});
+    request.body = std::move(json_text);
+    return request;
+}
+
 http_response json_response(int status, std::string json_text)
 {
     http_response response;
