Back ends straggle by sequences of their own; entry main in small steps; private members documented

Cause: every back-end stand-in drew its stragglers from the same seed, so they fell on the same queries and the plain policy looked good at a fan-out of 200.

Change: seeded by the back end's name. The entry node's run() is split by what it sets up.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -409,18 +409,31 @@
     /** How the back ends dealt with a claimed request. */
     struct dispatch_result;
 
+    /** Body of a worker: runs queued writes until the stop. */
     void work();
+    /** Carries one write through claim, send and record. @return what the caller is told. */
     write_result execute(job& task);
+    /** Creates the record @p mine at @p key, or finds who has it. @param deadline when the caller gives up. */
     claim_result claim(std::string const& key, write_record const& mine, time_point deadline);
+    /** Sends a claimed write to one replica, and to others only while it certainly did not run. */
     dispatch_result dispatch(job const& task);
+    /** Asks the policy on the client thread. @return index of the replica, or none. */
     std::optional<std::size_t> pick(std::vector<replica> const& candidates, std::vector<bool> const& tried);
+    /** Tells the tracker that a request was sent (no @p outcome) or how it ended. */
     void note(std::string const& backend, std::optional<attempt_outcome> outcome, std::chrono::microseconds took);
+    /** @return what a submission of a key that already has a record is told. */
     write_result replay(write_record const& record, write_request const& request) const;
+    /** Writes a record change now, or later when the store does not answer. */
     void update_record(record_update change);
+    /** @return whether the change is in the store (or overtaken). @throw error when the store does not answer. */
     bool try_update(record_update const& change);
+    /** Body of the recorder: repeats record changes until the store takes them. */
     void record_later();
+    /** @return the store lease that new records hang on; grants one when due. */
     std::int64_t retention_lease();
+    /** @return a new unique claim id. */
     std::string new_claim();
+    /** Runs the fault-injection hook. */
     void step(write_step where) const;
 
     store_client& m_store;                  ///< Store.
--- a/src/backend/backend_service.cpp
+++ b/src/backend/backend_service.cpp
@@ -36,7 +36,8 @@
 } // namespace
 
 backend_service::backend_service(backend_config config, std::vector<document> const& corpus)
-    : m_config(std::move(config)), m_corpus(corpus), m_started(clock::now())
+    : m_config(std::move(config)), m_corpus(corpus), m_started(clock::now()),
+      m_random(std::hash<std::string>{}(m_config.name))
 {
     for (auto const& version : m_config.holding)
         load_version(version);
--- a/src/backend/backend_service.hpp
+++ b/src/backend/backend_service.hpp
@@ -102,21 +102,33 @@
         bool lose_reply = false;   ///< Run, then never answer.
     };
 
+    /** Body of a worker: runs admitted jobs until the stop. */
     void work();
+    /** Runs one job and answers it. */
     void run(job& task);
+    /** @return the answer to a search. */
     http_response search_answer(job const& task) const;
     /** Sleeps for the job's pause. @return false when the caller gave it up meanwhile. */
     static bool pause(job const& task, time_point started);
+    /** Reads a search request and admits it. */
     void search(http_request const& request, reply_fn reply);
+    /** Reads a write request and admits it. */
     void write(http_request const& request, reply_fn reply);
     /** Takes a free slot for @p task, or refuses it. */
     void admit(job task);
+    /** Handles POST /v1/fault. */
     http_response set_faults_json(nlohmann::json const& body);
+    /** Handles POST /v1/versions: loads or drops an index version. */
     http_response change_versions(nlohmann::json const& body);
+    /** @return the journal as JSON. */
     http_response journal_json() const;
+    /** @return what /healthz and /v1/load say, true or not. */
     http_response health_json() const;
+    /** @return the index of a shard at a version, or null. */
     index_ptr find_index(std::int64_t version, std::int32_t shard) const;
+    /** @return true with the given probability. */
     bool chance(double probability);
+    /** Adds a line to the journal; m_mutex is held. */
     void note(journal_event event, job const& task);
 
     backend_config m_config;                                              ///< Limits.
@@ -130,8 +142,8 @@
     backend_faults m_faults;                                              ///< Faults in force.
     std::deque<journal_entry> m_journal;                                  ///< Log of work, bounded.
     bool m_stopping = false;                                              ///< Workers should end.
-    std::mt19937_64 m_random{12345};                                      ///< Chooses stragglers.
-    std::vector<std::thread> m_workers;                                   ///< One per slot.
+    std::mt19937_64 m_random;           ///< Chooses stragglers; seeded by the name, so that back ends differ.
+    std::vector<std::thread> m_workers; ///< One per slot.
 };
 
 } // namespace cornelspring
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -87,6 +87,49 @@
     return options;
 }
 
+/** @return the settings of non-idempotent requests. */
+write_options write_settings(settings const& config)
+{
+    write_options options;
+    options.owner = config.text("id");
+    options.workers = static_cast<std::size_t>(config.integer("write.workers"));
+    options.queue_limit = static_cast<std::size_t>(config.integer("write.queue_limit"));
+    options.default_deadline = milliseconds(config.integer("write.default_deadline_ms"));
+    options.retention_s = config.integer("write.retention_s");
+    return options;
+}
+
+/** @return the task that reads the platform's VM list, or null when none is set. */
+std::unique_ptr<vm_list_watcher> watch_vm_list(settings const& config, h2_client& client, backend_tracker& tracker)
+{
+    if (config.text("vm_list.address").empty()) return nullptr;
+    vm_list_options options;
+    options.address = parse_endpoint(config.text("vm_list.address"));
+    options.interval = milliseconds(config.integer("vm_list.interval_ms"));
+    return std::make_unique<vm_list_watcher>(client, tracker, options);
+}
+
+/** @return this node's identity and what callers are told. */
+entry_config identity_settings(settings const& config)
+{
+    entry_config identity;
+    identity.id = config.text("id");
+    identity.zone = config.text("zone");
+    identity.entries_limit = static_cast<std::size_t>(config.integer("entries_limit"));
+    identity.entries_ttl_s = config.integer("entries_ttl_s");
+    return identity;
+}
+
+/** @return the caller-facing listener's address and limits. */
+server_options listen_settings(settings const& config)
+{
+    server_options listen;
+    listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
+    listen.max_body_bytes = static_cast<std::size_t>(config.integer("max_body_bytes"));
+    listen.max_connections = static_cast<std::size_t>(config.integer("max_connections"));
+    return listen;
+}
+
 /** Runs the entry node until SIGTERM. */
 int run(settings const& config, std::vector<std::string> const&)
 {
@@ -104,32 +147,12 @@
     std::string const policy = config.text("query.policy");
     auto chooser = make_chooser(policy, tracker);
     scatter_gather gather(client, gather_settings(config), chooser, tracker, [&view] { return view.current(); });
-    write_options writing;
-    writing.owner = config.text("id");
-    writing.workers = static_cast<std::size_t>(config.integer("write.workers"));
-    writing.queue_limit = static_cast<std::size_t>(config.integer("write.queue_limit"));
-    writing.default_deadline = milliseconds(config.integer("write.default_deadline_ms"));
-    writing.retention_s = config.integer("write.retention_s");
-    auto writes = std::make_unique<write_coordinator>(store, client, chooser, tracker, writing);
-    std::unique_ptr<vm_list_watcher> vm_list;
-    if (!config.text("vm_list.address").empty()) {
-        vm_list_options listing;
-        listing.address = parse_endpoint(config.text("vm_list.address"));
-        listing.interval = milliseconds(config.integer("vm_list.interval_ms"));
-        vm_list = std::make_unique<vm_list_watcher>(client, tracker, listing);
-    }
-
-    entry_config identity;
-    identity.id = config.text("id");
-    identity.zone = config.text("zone");
-    identity.entries_limit = static_cast<std::size_t>(config.integer("entries_limit"));
-    identity.entries_ttl_s = config.integer("entries_ttl_s");
+    auto writes = std::make_unique<write_coordinator>(store, client, chooser, tracker, write_settings(config));
+    auto vm_list = watch_vm_list(config, client, tracker);
+    auto const identity = identity_settings(config);
     entry_service service(identity, view, gather, *writes, std::make_shared<prometheus::Registry>());
     service.set_transport_stats([&client] { return client.stats(); });
-    server_options listen;
-    listen.listen = {config.text("listen.host"), static_cast<std::uint16_t>(config.integer("listen.port"))};
-    listen.max_body_bytes = static_cast<std::size_t>(config.integer("max_body_bytes"));
-    listen.max_connections = static_cast<std::size_t>(config.integer("max_connections"));
+    auto const listen = listen_settings(config);
     http_server server(
         listen, [&service](http_request const& request, reply_fn reply) { service.handle(request, std::move(reply)); });
     server.start();
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -89,28 +89,51 @@
     std::atomic<std::uint64_t> sent_bytes{0};       ///< See client_stats.
     std::atomic<std::uint64_t> received_bytes{0};   ///< See client_stats.
 
+    /** Body of the thread. */
     void loop();
+    /** @return the wait until the next deadline, timer or check. */
     milliseconds time_to_next(time_point now) const;
+    /** Takes in a call: finds its connection and opens its stream, or lets it wait for the connect. */
     void start_call(client_call call);
+    /** Drops a call without a result and resets its stream. */
     void cancel_call(std::uint64_t id);
+    /** @return the connection that takes new calls to @p peer, opening one when needed; null when it cannot. */
     client_connection* connection_for(endpoint const& peer, time_point now);
+    /** Submits a call's request on a connected connection. */
     void open_stream(client_connection& connection, client_call& call);
+    /** Handles socket events. */
     void on_event(client_connection& connection, std::uint32_t events);
+    /** Starts the HTTP/2 session once TCP is connected. */
     void on_connected(client_connection& connection);
+    /** Reads all that has arrived. */
     void read_from(client_connection& connection);
+    /** Writes what the session has to send. */
     void flush(client_connection& connection);
+    /** Flushes every connection marked dirty since the last time. */
     void flush_dirty();
+    /** Asks for write events, or no longer. */
     void poll_write(client_connection& connection, bool wanted);
+    /** Sends RST_STREAM for a call's stream. */
     void reset_stream(client_call const& call);
+    /** Ends a call and reports its result. */
     void finish(std::uint64_t id, send_outcome outcome, std::string detail);
+    /** Forgets a call's deadline and place on its connection. */
     void release(client_call const& call);
+    /** Lets a connection take no new calls; it is closed when its calls have ended. */
     void retire(client_connection& connection);
+    /** Ends every call of a connection and marks it for closing. */
     void fail_connection(client_connection& connection, std::string const& why);
+    /** Ends the calls whose deadline has passed. */
     void expire(time_point now);
+    /** Runs the tasks that are due. */
     void run_timers(time_point now);
+    /** Finds silent, retired and unconnectable connections. */
     void check_connections(time_point now);
+    /** Closes the connections marked broken. */
     void close_finished();
+    /** @return the call of a stream, or null when it has ended. */
     client_call* call_of_stream(nghttp2_session* session, std::int32_t stream_id);
+    /** @return the connection with this id, or null. */
     client_connection* find_connection(std::uint64_t id);
 };
 
