--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -269,6 +269,7 @@
     double retry_burst = 200;              ///< Retries allowed at once.
     bool hedge = true;                     ///< Send a second request for a slow shard.
     double hedge_quantile = 0.95;          ///< A shard slower than this quantile of recent answers is hedged.
+    double hedge_tail_share = 0.1;         ///< Hedging begins when at most this share of a query's shards is open.
     double hedge_ratio = 0.05;             ///< Hedges allowed per shard request, in the long run.
     double hedge_burst = 50;               ///< Hedges allowed at once.
     milliseconds hedge_min{1};             ///< Shortest hedge delay.
--- a/src/coordination/scatter_gather.cpp
+++ b/src/coordination/scatter_gather.cpp
@@ -8,6 +8,11 @@
 
 /** Seconds a caller is told to wait when no shard could answer. */
 constexpr int no_answer_retry_after_s = 1;
+/** Hedge delays after which a query's shards are hedged however many are open. */
+constexpr int hedge_patience = 4;
+/** Open shards that may always be hedged, however few the query has. */
+constexpr std::size_t hedge_tail_minimum = 4;
+
 using std::chrono::microseconds;
 
 } // namespace
@@ -42,6 +47,7 @@
     std::shared_ptr<config_snapshot const> snapshot; ///< Configuration routed by.
     std::int64_t version = 0;                        ///< Pinned index version.
     std::uint64_t generation = 0;                    ///< Raised when the query starts over.
+    time_point begun;                                ///< When its shards were first sent.
     time_point deadline;                             ///< When the answer is due.
     std::vector<shard_slot> shards;                  ///< Shards by number.
     std::size_t unsettled = 0;                       ///< Shards not yet settled.
@@ -81,6 +87,7 @@
 void scatter_gather::start(state_ptr const& state, std::shared_ptr<config_snapshot const> snapshot)
 {
     state->snapshot = std::move(snapshot);
+    state->begun = clock::now();
     auto const& service = state->snapshot->services.at(state->query.service);
     state->version = service.index_version;
     state->version_missing = false;
@@ -241,6 +248,12 @@
     if (state->finished || generation != state->generation) return;
     auto const now = clock::now();
     auto const delay = hedge_delay(state->query.service);
+    m_client.run_at(now + delay, [this, state, generation] { hedge_slow(state, generation); });
+    // While many shards are open the whole query is late, not a few stragglers: hedging all of them would spend the
+    // budget that the stragglers will need. If it stays so, many back ends are in trouble, and hedging begins.
+    auto const tail = static_cast<std::size_t>(m_options.hedge_tail_share * static_cast<double>(state->shards.size()));
+    bool const just_begun = now - state->begun < delay * hedge_patience;
+    if (just_begun && state->unsettled > std::max(hedge_tail_minimum, tail)) return;
     for (std::size_t shard = 0; shard < state->shards.size(); ++shard) {
         auto& slot = state->shards[shard];
         if (slot.settled || slot.open.empty() || now - slot.open.back().sent < delay) continue;
@@ -257,7 +270,6 @@
         dispatch(state, shard, *pick, now);
         ++state->counts.hedges;
     }
-    m_client.run_at(now + delay, [this, state, generation] { hedge_slow(state, generation); });
 }
 
 void scatter_gather::cancel_rest(query_state& state, std::size_t shard, time_point now)
