--- a/include/cornelspring/base.hpp
+++ b/include/cornelspring/base.hpp
@@ -109,12 +109,19 @@
 /** @return violations counted since the start. Thread-safe. */
 std::uint64_t invariant_violations();
 
+/** Where log lines go. */
+enum class log_target {
+    standard_error, ///< For tools whose result goes to standard output.
+    standard_output ///< For servers; never blocks: what cannot be written is kept up to a bound, then counted.
+};
+
 /**
- * Sets up log4cplus so that every record is one JSON object on one line of standard error.
+ * Sets up log4cplus so that every record is one JSON object on one line.
  * @param program name written in each record's "program" field.
  * @param level lowest level written: trace, debug, info, warn, error.
+ * @param target where lines go.
  */
-void init_logging(std::string const& program, std::string const& level);
+void init_logging(std::string const& program, std::string const& level, log_target target = log_target::standard_error);
 
 /** @return the logger named @p name. @param name dotted logger name, such as "entry.query". */
 log4cplus::Logger get_logger(std::string const& name);
@@ -216,9 +223,10 @@
 
 /** Name and settings of a program. */
 struct program_info {
-    std::string name;                     ///< Binary name, for --help, logs and errors.
-    std::string summary;                  ///< One line saying what it does.
-    std::vector<setting_def> const& defs; ///< Settings table.
+    std::string name;                            ///< Binary name, for --help, logs and errors.
+    std::string summary;                         ///< One line saying what it does.
+    std::vector<setting_def> const& defs;        ///< Settings table.
+    log_target log = log_target::standard_error; ///< Where its log goes.
 };
 
 /** What a program does once its command line and settings are checked; returns the exit status. */
--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -1,6 +1,7 @@
 /** @file coordination.hpp Store client, configuration watch, membership by leases, and scatter-gather. */
 #pragma once
 
+#include <cornelspring/routing.hpp>
 #include <cornelspring/state.hpp>
 #include <cornelspring/transport.hpp>
 
@@ -153,21 +154,6 @@
     double m_tokens; ///< Tokens left.
 };
 
-/** The most recent latencies of one service, for choosing a hedge delay. */
-class latency_window {
-public:
-    /** Adds one observation. @param latency time from send to answer. */
-    void add(std::chrono::microseconds latency);
-    /** @return the @p quantile of the window, or nothing before enough samples. @param quantile 0 to 1. */
-    std::optional<std::chrono::microseconds> quantile(double quantile);
-
-private:
-    std::vector<std::chrono::microseconds> m_samples;  ///< Ring of samples.
-    std::size_t m_next = 0;                            ///< Next place in the ring.
-    std::size_t m_since_sort = 0;                      ///< Samples added since m_cached was computed.
-    std::optional<std::chrono::microseconds> m_cached; ///< Last quantile computed.
-};
-
 /** How a back end answered one request, as the tracker sees it. */
 enum class attempt_outcome {
     answered,  ///< A usable answer.
--- /dev/null
+++ b/include/cornelspring/gateway.hpp
@@ -0,0 +1,274 @@
+/**
+ * @file gateway.hpp The gateway process: connections of callers and to backend servers, the link to the platform's
+ * store, membership of gateway VMs, and the service that ties them to the dispatcher.
+ */
+#pragma once
+
+#include <cornelspring/routing.hpp>
+
+namespace cornelspring {
+
+// ---- HTTP/1.1 client connections ----
+
+/** How an exchange on a client connection ended. */
+struct exchange_result {
+    bool answered = false;   ///< A whole, matching response came.
+    bool sent = false;       ///< The request may have reached the peer.
+    http_response response;  ///< The response when answered.
+    char const* detail = ""; ///< Why not answered.
+};
+
+/** One HTTP/1.1 connection to a peer that carries one request at a time. */
+class client_connection {
+public:
+    /** Outcome of offering a response to its request. */
+    enum class match { mine, other };
+    /** One exchange. */
+    struct exchange {
+        std::string bytes;                                  ///< Request as sent.
+        bool head = false;                                  ///< The response has no body.
+        std::function<match(http_response const&)> matches; ///< Whether a response answers this request.
+        std::function<void(exchange_result)> done;          ///< Called once.
+    };
+    /**
+     * Starts connecting.
+     * @param loop event loop. @param peer address. @param options socket options. @param limits on responses.
+     */
+    client_connection(event_loop& loop, endpoint const& peer, stream_options options, message_limits limits);
+    /** Begins an exchange; only while idle. @param next the exchange. */
+    void start(exchange next);
+    /** @return whether the connection is established. */
+    bool established() const { return m_established; }
+    /** @return whether it is open and can carry another request. */
+    bool reusable() const;
+    /** Sets the hook for the end of an idle connection. @param hook called once. */
+    void on_idle_end(std::function<void()> hook) { m_idle_end = std::move(hook); }
+    /** @return until when the peer keeps the connection when idle, by its own word; max when it did not say. */
+    time_point kept_until() const { return m_kept_until; }
+    /** @return the end of the last exchange. */
+    time_point idle_since() const { return m_idle_since; }
+
+private:
+    void on_bytes(std::string_view bytes);
+    void on_end(stream_end how);
+    void take_response(std::string_view rest);
+    void end_exchange(exchange_result result);
+    void note_keep_alive(http_response const& response);
+
+    event_loop& m_loop;                          ///< Event loop.
+    message_reader m_reader;                     ///< Response reader.
+    std::optional<exchange> m_exchange;          ///< Present exchange.
+    std::function<void()> m_idle_end;            ///< Hook of the idle connection.
+    bool m_established = false;                  ///< Connected.
+    bool m_broken = false;                       ///< Must not be used again.
+    bool m_used = false;                         ///< Carried an exchange before.
+    time_point m_kept_until = time_point::max(); ///< Peer's idle limit.
+    time_point m_idle_since;                     ///< End of the last exchange.
+    std::unique_ptr<tcp_stream> m_stream;        ///< The connection.
+};
+
+// ---- Backend pool ----
+
+/** Settings of the connections to backend servers. */
+struct pool_options {
+    header_names names;              ///< Header names.
+    milliseconds connect_limit{600}; ///< Longest connect: two round trips between regions and a slow accept.
+    milliseconds idle_limit{4000};   ///< Kept connections idle this long are closed.
+    milliseconds fresh_enough{250};  ///< A kept connection idle longer may be dead: not for what must not repeat.
+    message_limits response_limits{32768, 8 << 20}; ///< Limits on responses.
+};
+
+/** Connections to backend servers: sends attempts and reports their results. */
+class backend_pool {
+public:
+    /** @param loop event loop. @param options settings. @param on_result receives every result that is not cancelled.
+     */
+    backend_pool(event_loop& loop, pool_options options, std::function<void(attempt_id, attempt_result)> on_result);
+    ~backend_pool();
+    /** Sends an attempt. @param order the attempt. */
+    void send(attempt_order order);
+    /** Gives an attempt up by closing its connection. @param id attempt. */
+    void cancel(attempt_id id);
+    /** @return connections opened since the start. */
+    std::uint64_t connections_opened() const;
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Connections.
+};
+
+// ---- Callers ----
+
+/** What a caller's connection delivers to the service. */
+struct caller_request {
+    request_key key;      ///< For answer().
+    http_request message; ///< The request.
+    bool local = false;   ///< Arrived on an address for the system's own calls, not for forwarding.
+};
+
+/** The server for callers: reads requests strictly, one at a time on each connection, and answers each once. */
+class caller_server {
+public:
+    /** Hooks of the service. */
+    struct hooks {
+        std::function<void(caller_request)> on_request; ///< A whole request; answer() follows, now or later.
+        std::function<void(request_key)> on_gone;       ///< The caller left before its answer.
+        std::function<caller_limits()> limits;          ///< Limits in force.
+        /** A request was refused before routing. @param status answered. @param reason why. */
+        std::function<void(int status, char const* reason)> on_refused;
+    };
+    /** @param loop event loop. @param hooks service. */
+    caller_server(event_loop& loop, hooks hooks);
+    ~caller_server();
+    /** Listens on @p address. @param address address. @param local whether only the system's own calls come there. */
+    void listen(endpoint const& address, bool local);
+    /** Answers a request; does nothing when its caller has left. @param key request. @param response answer. */
+    void answer(request_key key, http_response response);
+    /** From now on each answer closes its connection. */
+    void close_after_answers();
+    /** Stops accepting and closes idle connections. */
+    void stop_listening();
+    /** @return open connections of callers for forwarding. */
+    std::size_t connections() const;
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Connections.
+};
+
+// ---- Store ----
+
+/** An item of the platform's store, or its removal. */
+struct store_item {
+    std::string key;           ///< Key.
+    std::string value;         ///< Value; empty for a removal.
+    std::int64_t revision = 0; ///< Revision of the change.
+    bool removed = false;      ///< The key was removed.
+};
+
+/** A page of items or a batch of changes. */
+struct store_batch {
+    std::vector<store_item> items; ///< Items or changes, oldest first.
+    std::int64_t as_of = 0;        ///< Store revision of the answer.
+    bool more = false;             ///< Another page follows.
+    bool history_gone = false;     ///< The changes asked for are no longer kept: read everything again.
+};
+
+/** A conditional write of one key. */
+struct store_write {
+    std::string key;                               ///< Key.
+    std::string value;                             ///< Value.
+    std::int64_t lease = 0;                        ///< Lease that keeps it.
+    std::optional<std::int64_t> expected_revision; ///< Condition: revision of the key (0: absent).
+};
+
+/** Translates the store's calls; one for each store that is spoken. */
+struct store_codec {
+    std::string config_key;     ///< Key of the operators' configuration.
+    std::string backend_prefix; ///< Prefix of backend entries; the rest of the key is the id.
+    std::function<http_request(std::string const& prefix, std::string const& after)> read; ///< Read a prefix.
+    std::function<http_request(std::string const& prefix, std::int64_t after, milliseconds wait)>
+        watch;                                                          ///< Wait for changes.
+    std::function<http_request(std::vector<store_write> const&)> write; ///< Write keys.
+    std::function<http_request(milliseconds ttl)> grant;                ///< New lease.
+    std::function<http_request(std::int64_t lease)> renew;              ///< Renew a lease.
+    std::function<http_request(std::int64_t lease)> end_lease;          ///< End a lease.
+    std::function<store_batch(http_response const&)> parse_batch;       ///< Reads the answer of read and watch.
+    std::function<std::int64_t(http_response const&)> parse_lease;      ///< Reads the answer of grant.
+    std::function<std::shared_ptr<serving_config const>(std::string const& value)>
+        parse_config; ///< Reads a configuration.
+    std::function<backend_entry(std::string const& id, std::string const& value)> parse_backend; ///< Reads an entry.
+};
+
+/** A gateway VM as it registers itself. */
+struct gateway_member {
+    endpoint address;   ///< Where callers connect.
+    endpoint peer;      ///< Where other gateways ask for state.
+    domain_name domain; ///< Failure domain.
+    region_name region; ///< Region.
+};
+/** @return a member as the value of its store key. @param member member. */
+std::string encode_member(gateway_member const& member);
+/** @return the member in @p value. @param value store value. @throw error bad_request when malformed. */
+gateway_member decode_member(std::string const& value);
+
+/** Settings of a gateway process. */
+struct gateway_settings {
+    std::string name;                        ///< Name of this VM.
+    std::optional<endpoint> caller_address;  ///< Where callers connect.
+    std::vector<endpoint> local_addresses;   ///< Addresses for readiness, address and state questions.
+    std::optional<endpoint> peer_address;    ///< Of these, the one other gateways use.
+    std::optional<endpoint> metrics_address; ///< Where metrics are served.
+    std::vector<endpoint> seeds;             ///< Peer addresses of some gateways; may be stale.
+    locality place;                          ///< Where this VM is.
+    endpoint store;                          ///< The platform's store.
+    std::string ready_path;                  ///< Path of the readiness question.
+    std::string addresses_path;              ///< Path of the address question.
+    std::string metrics_path = "/metrics";   ///< Path of the metrics.
+    milliseconds lease_ttl{4000};            ///< Time to live of this VM's registration.
+    milliseconds stop_limit{5500};           ///< A stop ends after this, whatever is open.
+    milliseconds config_limit{3000};         ///< A configuration must be in force within this.
+    int addresses_ttl_s = 2;                 ///< How long callers keep an address answer.
+    dispatcher_options dispatch;             ///< Decisions.
+    pool_options pool;                       ///< Connections to backend servers.
+    /** Writes the answer to an address question. */
+    std::function<std::string(std::vector<endpoint> const& addresses, int ttl_s)> encode_addresses;
+    /** Reads the caller's place from an address question's target. */
+    std::function<std::pair<region_name, domain_name>(std::string const& target)> decode_place;
+};
+
+/** What the store link reports. */
+struct store_events {
+    std::function<void(store_batch const& batch, bool complete)> on_batch; ///< Items (complete: all there are).
+    std::function<void()> on_lost;                                         ///< Calls fail.
+    std::function<void(milliseconds outage)> on_back;                      ///< Calls succeed again.
+};
+
+/**
+ * Keeps a copy of the store current: one full read, then one waiting watch over all keys; and keeps this VM's
+ * registration alive by a lease.
+ */
+class store_link {
+public:
+    /** @param loop event loop. @param store address. @param codec translation. @param events receiver. */
+    store_link(event_loop& loop, endpoint store, store_codec const& codec, store_events events);
+    ~store_link();
+    /** Starts reading. */
+    void start();
+    /** Registers this VM under a lease. @param key key. @param value value. @param ttl time to live. */
+    void register_as(std::string key, std::string value, milliseconds ttl);
+    /** The registration was removed by someone else: register anew. */
+    void registration_lost();
+    /** Ends the registration. */
+    void unregister();
+    /** @return whether the first full read is complete. */
+    bool synced() const;
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Connections and timers.
+};
+
+/** The gateway process. */
+class gateway {
+public:
+    /** @param settings settings. @param codec store translation. */
+    gateway(gateway_settings settings, store_codec codec);
+    ~gateway();
+    /** Serves until a stop signal has been handled. */
+    void run();
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Everything.
+};
+
+} // namespace cornelspring
--- /dev/null
+++ b/include/cornelspring/routing.hpp
@@ -0,0 +1,451 @@
+/**
+ * @file routing.hpp Decisions of the query tier, without sockets or clock reads: routes, backend servers, replica
+ * choice, retry budget, admission, and the life of one request over its shards.
+ */
+#pragma once
+
+#include <cornelspring/net.hpp>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+
+namespace cornelspring {
+
+/** Name of a service. */
+using service_name = strong_id<struct service_name_tag, std::string>;
+/** Id of one incarnation of a backend server; a restarted one has another. */
+using backend_id = strong_id<struct backend_id_tag, std::string>;
+/** Name of a failure domain. */
+using domain_name = strong_id<struct domain_name_tag, std::string>;
+/** Name of a region: failure domains near each other. */
+using region_name = strong_id<struct region_name_tag, std::string>;
+/** Version of the operators' configuration; grows with every change. */
+using config_version = strong_id<struct config_version_tag, std::int64_t>;
+
+// ---- Configuration ----
+
+/** What may be repeated. */
+enum class route_kind {
+    idempotent,    ///< May run more than once.
+    non_idempotent ///< Runs at most once for each request.
+};
+
+/** One of the services among which a route distributes its requests. */
+struct split_part {
+    service_name service; ///< Service.
+    double weight = 1;    ///< Its share, relative to the other parts.
+};
+
+/** How the answers of many shards make up one answer. */
+struct gather_spec {
+    std::vector<service_name> shards; ///< One service for each shard.
+    std::size_t top_k = 10;           ///< Records of the merged answer.
+    double min_coverage = 1;          ///< Least share of the shards in a success.
+};
+
+/** One route: which requests, where to, and within which time. */
+struct route {
+    std::string name;                         ///< Operators' name.
+    std::string host;                         ///< Host it serves.
+    std::string prefix;                       ///< Path prefix; begins and ends with a slash.
+    route_kind kind = route_kind::idempotent; ///< What may be repeated.
+    milliseconds timeout{1000};               ///< Longest time a caller may be kept waiting.
+    milliseconds goal{1000};                  ///< Time within which an answer is worth its full value.
+    int priority = 0;                         ///< Rank; 0 is the highest.
+    int attempts = 1;                         ///< Most backend servers one request (of one shard) may run on.
+    std::vector<split_part> split;            ///< Services that share the requests; one for a plain route.
+    std::optional<gather_spec> gather;        ///< Set for a route over shards; split is then empty.
+};
+
+/** What the configuration says of one service. */
+struct service_spec_limits {
+    int max_connections = 16; ///< Connections a backend server of it accepts from all VMs together.
+};
+
+/** Limits on what callers may send. */
+struct caller_limits {
+    std::size_t max_header_bytes = 16384; ///< Start line and headers.
+    std::size_t max_body_bytes = 262144;  ///< Body.
+    milliseconds header_timeout{3000};    ///< Longest time to send one request.
+    milliseconds idle_timeout{15000};     ///< Longest idle time of a kept connection.
+};
+
+/** Why a route cannot be chosen. */
+enum class route_miss { none, unknown_host, unknown_path };
+
+/** One version of the operators' configuration. Immutable once in force. */
+class serving_config {
+public:
+    /** @param version version. @param routes routes. @param services limits by service. @param limits for callers. */
+    serving_config(config_version version, std::vector<route> routes,
+                   std::map<service_name, service_spec_limits> services, caller_limits limits);
+    /** @return the version. */
+    config_version version() const { return m_version; }
+    /** @return all routes. */
+    std::vector<route> const& routes() const { return m_routes; }
+    /** @return the limits for callers. */
+    caller_limits const& limits() const { return m_limits; }
+    /** @return the connection limit of @p service; a default when it is not named. @param service service. */
+    int max_connections(service_name const& service) const;
+    /**
+     * @return the route of @p host with the longest prefix that begins @p path, or null.
+     * @param host value of the Host header. @param path request target; a query is ignored.
+     */
+    route const* match(std::string_view host, std::string_view path) const;
+
+private:
+    config_version m_version;                                   ///< Version.
+    std::vector<route> m_routes;                                ///< Routes.
+    std::map<service_name, service_spec_limits> m_services;     ///< Limits by service.
+    caller_limits m_limits;                                     ///< For callers.
+    std::unordered_map<std::string, std::size_t> m_by_location; ///< Route index by host and prefix.
+};
+
+/** The configuration in force; it never goes back to an older version. */
+class config_holder {
+public:
+    /** Puts @p next into force when it is newer. @return whether it was. @param next candidate. */
+    bool offer(std::shared_ptr<serving_config const> next);
+    /** @return the configuration in force, or null before the first. */
+    std::shared_ptr<serving_config const> const& current() const { return m_current; }
+
+private:
+    std::shared_ptr<serving_config const> m_current; ///< In force.
+};
+
+// ---- Places ----
+
+/** How far a backend server is from this VM. */
+enum class proximity { same_domain, same_region, other_region };
+
+/** Where this VM is, and which region each failure domain belongs to. */
+struct locality {
+    domain_name domain;                         ///< Failure domain of this VM.
+    region_name region;                         ///< Region of this VM.
+    std::map<domain_name, region_name> regions; ///< Region of each known failure domain.
+    /** @return how far @p other is. @param other failure domain. */
+    proximity to(domain_name const& other) const;
+};
+
+// ---- Backend servers ----
+
+/** What a backend server has registered about itself. */
+struct backend_entry {
+    backend_id id;               ///< Incarnation.
+    service_name service;        ///< Service it belongs to.
+    endpoint address;            ///< Where it listens.
+    domain_name domain;          ///< Failure domain.
+    int slots = 1;               ///< Requests it works on at once.
+    bool draining = false;       ///< It leaves soon and takes no new work.
+    milliseconds warmup_left{0}; ///< How much longer it is slow after its start.
+};
+
+/** How one attempt at a backend server ended. */
+enum class attempt_end {
+    answered,     ///< A whole response of that backend server to that request.
+    not_executed, ///< The backend server said that it did not run the request.
+    wrong_server, ///< Another incarnation holds the address; it did not run the request.
+    not_sent,     ///< No byte of the request was accepted by the peer.
+    lost,         ///< Sent, but no usable response: it may have run.
+};
+/** @return the name of @p end for logs. @param end the end. */
+char const* to_string(attempt_end end);
+
+/** What this VM has observed of one backend server. */
+class backend_load {
+public:
+    /** Notes an attempt begun. */
+    void on_sent() { ++m_in_flight; }
+    /** Notes an attempt cancelled before it ended: its latency is at least the time it ran.
+     *  @param ran time it ran. @param now present time. */
+    void on_cancelled(std::chrono::microseconds ran, time_point now);
+    /** Notes how an attempt ended. @param end how. @param took time it ran. @param now present time. */
+    void on_ended(attempt_end end, std::chrono::microseconds took, time_point now);
+    /** Notes that an attempt runs longer than usual. @param now present time. */
+    void on_stalled(time_point now);
+    /** @return attempts that have not ended. */
+    int in_flight() const { return m_in_flight; }
+    /** @return whether new work should go elsewhere when it can. @param now present time. */
+    bool suspect(time_point now) const { return now < m_suspect_until; }
+    /** @return end of the suspicion. */
+    time_point suspect_until() const { return m_suspect_until; }
+    /** @return the expected latency in milliseconds. @param usual latency assumed without samples. @param now present.
+     */
+    double latency_ms(double usual, time_point now) const;
+    /** @return recent share of attempts that were shed or failed, 0 to 1. */
+    double failure_rate() const { return m_failure_rate; }
+
+private:
+    int m_in_flight = 0;        ///< Attempts not ended.
+    int m_strikes = 0;          ///< Failures and stalls in a row.
+    double m_latency_ms = 0;    ///< Moving average; 0 before the first sample.
+    double m_failure_rate = 0;  ///< Moving average of failures.
+    time_point m_sampled_at;    ///< Time of the last sample.
+    time_point m_suspect_until; ///< Avoided until then.
+};
+
+/** A backend server as this VM knows it. */
+struct backend_server {
+    backend_entry entry;                      ///< What it registered last.
+    proximity where = proximity::same_domain; ///< How far it is.
+    backend_load load;                        ///< What was observed of it.
+    time_point cold_until;                    ///< Slow after its start until then.
+    std::optional<time_point> draining_since; ///< When this VM learned that it leaves.
+    bool gone = false;                        ///< Its entry was removed: no new work.
+    std::optional<time_point> lapsed_until;   ///< Its entry was removed by a store outage; gone at that time.
+};
+
+/** Allowance of extra arrivals at one service within a sliding window; this VM's part of a bound over all VMs. */
+class retry_budget {
+public:
+    /** Limits of all services' budgets. */
+    struct limits {
+        double ratio = 0.2;              ///< Extra arrivals for each request.
+        double slack = 50;               ///< Extra arrivals beyond that, over all VMs.
+        std::chrono::seconds window{10}; ///< Length of the window.
+    };
+    /** Counts a request for the service. @param now present time. */
+    void on_request(time_point now);
+    /**
+     * Takes one extra arrival, if the window has room for it.
+     * @param bound limits. @param vms VMs that share the slack. @param now present time. @return whether it was taken.
+     */
+    bool take(limits const& bound, std::size_t vms, time_point now);
+    /** @return extra arrivals left in this window. @param bound limits. @param vms sharing VMs. @param now present. */
+    double left(limits const& bound, std::size_t vms, time_point now);
+
+private:
+    /** Counts of one second. */
+    struct second_count {
+        std::int64_t second = -1; ///< Seconds of the steady clock.
+        int requests = 0;         ///< Requests in it.
+        int extras = 0;           ///< Extra arrivals in it.
+    };
+    /** @return the counts of the second of @p now. */
+    second_count& at(time_point now);
+    std::array<second_count, 16> m_seconds; ///< Ring of seconds; longer than any window in use.
+};
+
+/** The backend servers of one service and what all requests for it share. */
+struct service_group {
+    service_name name;                                     ///< Service.
+    std::vector<std::shared_ptr<backend_server>> backends; ///< Known backend servers.
+    retry_budget budget;                                   ///< Extra arrivals allowed.
+    double usual_latency_ms = 20;                          ///< Moving average over its backend servers.
+    /** A shard of a request that waits for a backend server with room. */
+    struct waiter {
+        std::uint64_t request = 0; ///< Request key.
+        std::size_t shard = 0;     ///< Shard of the request.
+    };
+    std::multimap<int, waiter> waiting; ///< By route priority, first come first served within one.
+};
+
+/** All backend servers known to this VM, by service. */
+class backend_registry {
+public:
+    /** @param place where this VM is. @param lapse_grace how long entries that lapsed in an outage may take to return.
+     */
+    backend_registry(locality place, milliseconds lapse_grace) : m_place(std::move(place)), m_lapse_grace(lapse_grace)
+    {
+    }
+    /** Takes in an entry. @param entry entry. @param now present time. @return whether routing changes. */
+    bool apply(backend_entry const& entry, time_point now);
+    /** Takes in the removal of an entry. @param id whose. @param now present time. @return whether it was known. */
+    bool remove(backend_id const& id, time_point now);
+    /** Notes that the store answers again after an outage; removals seen now may be entries that lapsed. */
+    void on_store_back(time_point now) { m_lapses_until = now + m_lapse_grace; }
+    /** Drops the lapsed entries that did not return in time. @param now present time. @return those dropped. */
+    std::vector<backend_id> expire(time_point now);
+    /** @return ids of all entries that are not gone. */
+    std::vector<backend_id> ids() const;
+    /** @return how many backend servers each region holds. */
+    std::map<region_name, std::size_t> backends_by_region() const;
+    /** @return how many regions there are. */
+    std::size_t known_regions() const;
+    /** @return the group of @p service, made when absent; the reference stays valid. @param service service. */
+    service_group& group(service_name const& service);
+    /** @return the backend server @p id, or null. @param id id. */
+    std::shared_ptr<backend_server> find(backend_id const& id) const;
+
+private:
+    locality m_place;                                                            ///< Where this VM is.
+    milliseconds m_lapse_grace;                                                  ///< Time lapsed entries get.
+    time_point m_lapses_until;                                                   ///< Removals until then may be lapses.
+    std::unordered_map<std::string, std::unique_ptr<service_group>> m_groups;    ///< By service name.
+    std::unordered_map<std::string, std::shared_ptr<backend_server>> m_backends; ///< By id.
+};
+
+/** Settings of replica choice. */
+struct selection_options {
+    double other_region_ms = 25;             ///< Added to the expected wait at another region: bytes there are dear.
+    double other_domain_ms = 2;              ///< Added at another failure domain of the region.
+    double cold_factor = 1.6;                ///< Slowdown of a backend server that has just started.
+    double failure_weight = 5;               ///< Weight of the recent failure rate.
+    milliseconds draining_last_resort{1000}; ///< A draining one may still be used so long when none else is left.
+};
+
+/** Why no backend server was chosen. */
+enum class selection_miss { none, no_backend, no_room, no_budget };
+
+/** Result of a choice. */
+struct selection {
+    std::shared_ptr<backend_server> target;     ///< The choice, or null.
+    selection_miss miss = selection_miss::none; ///< Why null.
+    bool suspect = false;                       ///< The choice is under suspicion; no better one had room.
+};
+
+/**
+ * Chooses the backend server with the lowest expected wait.
+ * @param group service. @param tried ids to leave out. @param room most attempts in flight at one backend server.
+ * @param options weights. @param random tie breaks. @param now present time.
+ * @return the choice.
+ */
+selection choose_backend(service_group const& group, std::vector<backend_id> const& tried, int room,
+                         selection_options const& options, std::mt19937_64& random, time_point now);
+
+/** @return whether some backend server of @p group may get work. @param group service. @param options settings.
+ *  @param now present time. */
+bool takes_work(service_group const& group, selection_options const& options, time_point now);
+
+// ---- Merging records ----
+
+/** Bytes of one record of a shard's answer. */
+inline constexpr std::size_t record_size = 16;
+/**
+ * @return the greatest @p top_k records of all @p bodies, greatest first, compared byte by byte; equal ones all count.
+ * @param bodies shard answers; a remainder shorter than a record is left out. @param top_k records wanted.
+ */
+std::string merge_records(std::vector<std::string_view> const& bodies, std::size_t top_k);
+
+// ---- One request ----
+
+/** Lower-case names of the headers that carry a request's context; the adapter of a platform gives them. */
+struct header_names {
+    std::string request_id;      ///< Id of one attempt of a caller.
+    std::string deadline;        ///< Milliseconds the sender will wait.
+    std::string target_backend;  ///< Id of the backend server meant.
+    std::string signature;       ///< A backend server's mark on its answer.
+    std::string not_executed;    ///< Set by a backend server that did not run the request.
+    std::string part_signatures; ///< Signatures of the shard answers in a merged answer.
+    std::string missing_parts;   ///< Number of shards left out of a merged answer.
+};
+
+/** Key of a request within this process. */
+using request_key = strong_id<struct request_key_tag, std::uint64_t>;
+/** Id of one attempt at a backend server within this process. */
+using attempt_id = strong_id<struct attempt_id_tag, std::uint64_t>;
+
+/** An attempt to be sent. */
+struct attempt_order {
+    attempt_id id;                          ///< For on_result() and cancel.
+    std::shared_ptr<backend_server> target; ///< Where to.
+    std::string bytes;                      ///< The request as it goes out.
+    std::string caller_id;                  ///< The caller's request id, which the answer must carry.
+    bool head = false;                      ///< A HEAD request, whose response has no body.
+    bool repeatable = true;                 ///< May be sent on a kept connection that could be dead.
+};
+
+/** Result of an attempt. */
+struct attempt_result {
+    attempt_end end = attempt_end::lost; ///< How it ended.
+    http_response response;              ///< The response when answered or not executed.
+    std::string detail;                  ///< Why it failed, for logs.
+};
+
+/** What became of a request, for logs and metrics. */
+struct request_summary {
+    std::string caller_id;             ///< The caller's id of the request.
+    std::string route_name;            ///< Route, or empty.
+    config_version version;            ///< Configuration that decided.
+    int status = 0;                    ///< Status answered; 0 when the caller left.
+    char const* reason = "";           ///< Why, in one word.
+    std::size_t shards = 0;            ///< Shards of the request.
+    std::size_t answered = 0;          ///< Shards in the answer.
+    int sent = 0;                      ///< Attempts sent.
+    int hedges = 0;                    ///< Of these, sent while another was open.
+    int retries = 0;                   ///< Of these, sent after a failure.
+    std::chrono::microseconds took{0}; ///< From arrival to answer.
+    int failed_attempts = 0;           ///< Attempts that failed.
+    std::string failures;              ///< The first of these: backend server and reason.
+};
+
+/** Calls of the dispatcher to the outside. */
+struct dispatcher_hooks {
+    std::function<void(attempt_order)> send;                ///< Sends an attempt; its result comes back later.
+    std::function<void(attempt_id)> cancel;                 ///< Gives an attempt up; no result is wanted.
+    std::function<void(request_key, http_response)> answer; ///< Answers a caller.
+    std::function<void(request_summary const&)> finished;   ///< A request ended.
+};
+
+/** Settings of the dispatcher. */
+struct dispatcher_options {
+    header_names names;             ///< Header names.
+    retry_budget::limits budget;    ///< Bound on extra arrivals.
+    selection_options selection;    ///< Replica choice.
+    double hedge_quantile = 0.92;   ///< A shard slower than this quantile of recent ones is hedged.
+    milliseconds hedge_min{5};      ///< Shortest hedge delay: below it, two answers are the rule.
+    double hedge_goal_share = 0.4;  ///< Longest hedge delay, as a share of the route's goal.
+    milliseconds answer_margin{20}; ///< An answer leaves this long before its goal to arrive in time.
+    milliseconds observe{300};      ///< A hedged attempt is watched so long, to learn when its server recovers.
+    double connection_share = 0.9;  ///< Share of a backend server's connections that all VMs together use.
+    double retry_after_s = 0.3;     ///< Told to callers that were refused, at least; spread up to twice it.
+};
+
+/** Recent latencies of one kind of request. */
+class latency_window {
+public:
+    /** Adds one observation. @param latency time from send to answer. */
+    void add(std::chrono::microseconds latency);
+    /** @return the @p quantile of the window, or nothing before enough samples. @param quantile 0 to 1. */
+    std::optional<std::chrono::microseconds> quantile(double quantile);
+
+private:
+    std::vector<std::chrono::microseconds> m_samples;  ///< Ring of samples.
+    std::size_t m_next = 0;                            ///< Next place in the ring.
+    std::size_t m_since_sort = 0;                      ///< Samples added since m_cached was computed.
+    std::optional<std::chrono::microseconds> m_cached; ///< Last quantile computed.
+};
+
+/**
+ * Carries requests: chooses their route and backend servers, sends, hedges and retries within the budget, merges the
+ * answers of shards, and answers each caller exactly once. The hooks must not call back into it.
+ */
+class dispatcher {
+public:
+    /** @param options settings. @param configs configuration in force. @param registry backend servers.
+     *  @param hooks outside calls. @param seed random seed. */
+    dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
+               dispatcher_hooks hooks, std::uint64_t seed);
+    ~dispatcher();
+    /** Takes in a whole request. @param key new key for it. @param message as received. @param now present time. */
+    void start(request_key key, http_request message, time_point now);
+    /** The caller has left: gives up all work for it. @param key request. @param now present time. */
+    void caller_gone(request_key key, time_point now);
+    /** Takes in the result of an attempt. @param id attempt. @param result result. @param now present time. */
+    void on_result(attempt_id id, attempt_result result, time_point now);
+    /** Does what is due. @param now present time. */
+    void on_time(time_point now);
+    /** @return when on_time() has something to do next. */
+    std::optional<time_point> next_due() const;
+    /** @return requests not yet answered. */
+    std::size_t open_requests() const;
+    /** Sets how many VMs share budgets and connections. @param vms at least 1. */
+    void set_vms(std::size_t vms);
+    /** Ends every open request at once: not run where that is certain. @param now present time. */
+    void abandon_all(time_point now);
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Requests and attempts.
+};
+
+} // namespace cornelspring
--- a/include/cornelspring/transport.hpp
+++ b/include/cornelspring/transport.hpp
@@ -1,7 +1,7 @@
 /** @file transport.hpp HTTP/2 streams between our processes (nghttp2) and HTTP towards callers (libwebsockets). */
 #pragma once
 
-#include <cornelspring/base.hpp>
+#include <cornelspring/net.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -13,49 +13,6 @@
 
 namespace cornelspring {
 
-/** One HTTP header. */
-struct http_header {
-    std::string name;  ///< Lower-case name.
-    std::string value; ///< Value.
-};
-
-/** A request as the transport delivers it to a handler or sends it to a peer. */
-struct http_request {
-    std::string method = "GET";       ///< HTTP method.
-    std::string path = "/";           ///< Path with query string.
-    std::vector<http_header> headers; ///< Headers other than pseudo-headers.
-    std::string body;                 ///< Body.
-    /** Set once the peer gave the request up (stream reset or connection lost); null on the sending side. */
-    std::shared_ptr<std::atomic<bool>> cancelled;
-    /** @return the value of header @p name, or "" when absent. @param name lower-case name. */
-    std::string header(std::string const& name) const;
-    /** @return true when the peer no longer waits for the answer. */
-    bool is_cancelled() const { return cancelled != nullptr && cancelled->load(); }
-};
-
-/** @return a POST of @p json_text as application/json. @param path path. @param json_text body. */
-http_request json_post(std::string path, std::string json_text);
-
-/** A response. */
-struct http_response {
-    int status = 200;                 ///< HTTP status.
-    std::vector<http_header> headers; ///< Headers; content-type is set by the helpers below.
-    std::string body;                 ///< Body.
-    /** @return the value of header @p name, or "" when absent. @param name lower-case name. */
-    std::string header(std::string const& name) const;
-};
-
-/** @return a response carrying @p json_text as application/json. @param status HTTP status. @param json_text body. */
-http_response json_response(int status, std::string json_text);
-
-/**
- * @return the JSON error response for @p failure: {"error": kind, "message", "remedy"}, with Retry-After
- * when @p retry_after_s is positive.
- * @param failure the error.
- * @param retry_after_s seconds after which the caller may come back, or 0.
- */
-http_response error_response(error const& failure, int retry_after_s = 0);
-
 /** Sends the response to one request; may be called from any thread, once. */
 using reply_fn = std::function<void(http_response)>;
 /** Handles one request; must call the reply function exactly once, now or later, from any thread. */
--- a/src/base/cli.cpp
+++ b/src/base/cli.cpp
@@ -86,7 +86,7 @@
     try {
         auto const options = parse_command_line(program.name, program.summary, argc, argv, program.defs);
         if (options.exit_now) return 0;
-        init_logging(program.name, options.log_level);
+        init_logging(program.name, options.log_level, program.log);
         return body(load_settings_file(options, program.defs), options.args);
     } catch (error const& failure) {
         std::cerr << program.name << ": " << to_string(failure.kind()) << ": " << failure.what() << "\n";
--- a/src/base/logging.cpp
+++ b/src/base/logging.cpp
@@ -2,8 +2,13 @@
 #include <cornelspring/base.hpp>
 
 #include <chrono>
+#include <iomanip>
 #include <memory>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -24,6 +29,12 @@
     {
         auto const since_epoch = event.getTimestamp().time_since_epoch();
         auto const micros = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count();
+        auto const& message = event.getMessage();
+        if (!message.empty() && message.front() == '{') { // Already the fields of a structured record.
+            out << "{\"ts\":" << micros / 1000000 << '.' << std::setw(6) << std::setfill('0') << micros % 1000000 << ","
+                << message.substr(1) << '\n';
+            return;
+        }
         nlohmann::json record{
             {"ts", static_cast<double>(micros) / 1e6},
             {"level", log4cplus::getLogLevelManager().toString(event.getLogLevel())},
@@ -35,6 +46,44 @@
     }
 };
 
+/**
+ * A log4cplus appender that writes lines to a descriptor without ever blocking: what the descriptor does not take
+ * now is kept up to a bound and sent with later lines; beyond the bound lines are dropped and counted.
+ */
+class unblocking_appender : public log4cplus::Appender {
+public:
+    /** @param fd descriptor; made non-blocking. */
+    explicit unblocking_appender(int fd) : m_fd(fd) { fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK); }
+    ~unblocking_appender() override { destructorImpl(); }
+    /** Nothing is held open. */
+    void close() override { closed = true; }
+
+protected:
+    /** Writes @p event or keeps it for later. @param event the record. */
+    void append(log4cplus::spi::InternalLoggingEvent const& event) override
+    {
+        auto const& line = formatEvent(event);
+        if (m_pending.size() + line.size() > pending_limit) {
+            ++m_dropped;
+        } else {
+            if (m_dropped > 0 && m_pending.size() < pending_limit / 2) {
+                m_pending += "{\"event\":\"log_lines_dropped\",\"count\":" + std::to_string(m_dropped) + "}\n";
+                m_dropped = 0;
+            }
+            m_pending += line;
+        }
+        auto const took = write(m_fd, m_pending.data(), m_pending.size());
+        if (took > 0) m_pending.erase(0, static_cast<std::size_t>(took));
+    }
+
+private:
+    /** Bytes kept for a reader that is behind: some thousand lines. */
+    static constexpr std::size_t pending_limit = 512 * 1024;
+    int m_fd;                    ///< Target.
+    std::string m_pending;       ///< Lines not yet written.
+    std::uint64_t m_dropped = 0; ///< Lines dropped since the last report.
+};
+
 /** @return the log4cplus level for @p name. @param name level name. */
 log4cplus::LogLevel level_from_name(std::string const& name)
 {
@@ -49,11 +98,16 @@
 
 } // namespace
 
-void init_logging(std::string const& program, std::string const& level)
+void init_logging(std::string const& program, std::string const& level, log_target target)
 {
     static log4cplus::Initializer initializer;
     g_program = program;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender;
+    if (target == log_target::standard_output) {
+        appender = new unblocking_appender(STDOUT_FILENO);
+    } else {
+        appender = new log4cplus::ConsoleAppender(true, true);
+    }
     appender->setLayout(std::make_unique<json_layout>());
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- /dev/null
+++ b/src/gateway/backend_pool.cpp
@@ -0,0 +1,165 @@
+/** @file backend_pool.cpp Connections to backend servers, kept and reused; attempts and their results. */
+#include <cornelspring/gateway.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+namespace {
+
+/** How often idle connections are looked through. */
+constexpr milliseconds sweep_interval{500};
+/** A kept connection whose peer closes it within this time is not used any more. */
+constexpr milliseconds kept_margin{150};
+
+} // namespace
+
+/** State of the pool. */
+struct backend_pool::impl {
+    /** A connection under way with an attempt. */
+    struct active {
+        std::unique_ptr<client_connection> connection; ///< Connection.
+        backend_id server;                             ///< Backend server.
+        timer_id connect_timer;                        ///< Ends an attempt whose connect hangs.
+    };
+    event_loop& loop;                                                                      ///< Event loop.
+    pool_options options;                                                                  ///< Settings.
+    std::function<void(attempt_id, attempt_result)> on_result;                             ///< Receiver.
+    std::unordered_map<std::uint64_t, active> in_use;                                      ///< By attempt.
+    std::unordered_map<std::string, std::vector<std::unique_ptr<client_connection>>> idle; ///< By backend server id.
+    std::uint64_t opened = 0;                                                              ///< Connections opened.
+    timer_id sweep_timer;                                                                  ///< Next sweep.
+
+    std::unique_ptr<client_connection> take_idle(attempt_order const& order);
+    void send(attempt_order order);
+    void connect_hangs(attempt_id id);
+    void done(attempt_id id, exchange_result result);
+    attempt_result classify(exchange_result result) const;
+    void keep(backend_id const& server, std::unique_ptr<client_connection> connection);
+    void sweep();
+};
+
+std::unique_ptr<client_connection> backend_pool::impl::take_idle(attempt_order const& order)
+{
+    auto const found = idle.find(order.target->entry.id.value());
+    if (found == idle.end()) return nullptr;
+    auto& kept = found->second;
+    auto const now = loop.now();
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back()); // The one used last is the least likely to be dead.
+        kept.pop_back();
+        if (!connection->reusable() || connection->kept_until() < now + kept_margin) continue;
+        if (!order.repeatable && connection->idle_since() + options.fresh_enough < now) continue;
+        connection->on_idle_end(nullptr);
+        return connection;
+    }
+    return nullptr;
+}
+
+void backend_pool::impl::send(attempt_order order)
+{
+    active entry;
+    entry.server = order.target->entry.id;
+    entry.connection = take_idle(order);
+    bool const fresh = entry.connection == nullptr;
+    if (fresh) {
+        ++opened;
+        entry.connection = std::make_unique<client_connection>(loop, order.target->entry.address, stream_options{},
+                                                               options.response_limits);
+        entry.connect_timer =
+            loop.run_at(loop.now() + options.connect_limit, [this, id = order.id] { connect_hangs(id); });
+    }
+    client_connection::exchange exchange;
+    exchange.bytes = std::move(order.bytes);
+    exchange.head = order.head;
+    exchange.matches = [this, expected = std::move(order.caller_id)](http_response const& response) {
+        auto const echoed = response.header(options.names.request_id);
+        return echoed.empty() || echoed == expected ? client_connection::match::mine : client_connection::match::other;
+    };
+    exchange.done = [this, id = order.id](exchange_result result) { done(id, std::move(result)); };
+    auto& stored = in_use.emplace(order.id.value(), std::move(entry)).first->second;
+    stored.connection->start(std::move(exchange));
+}
+
+void backend_pool::impl::connect_hangs(attempt_id id)
+{
+    auto const found = in_use.find(id.value());
+    if (found == in_use.end() || found->second.connection->established()) return;
+    in_use.erase(found);
+    on_result(id, {attempt_end::not_sent, {}, "connect timed out"});
+}
+
+void backend_pool::impl::done(attempt_id id, exchange_result result)
+{
+    auto const found = in_use.find(id.value());
+    if (found == in_use.end()) return;
+    auto entry = std::move(found->second);
+    in_use.erase(found);
+    loop.cancel(entry.connect_timer);
+    if (result.answered && entry.connection->reusable()) {
+        keep(entry.server, std::move(entry.connection));
+    }
+    on_result(id, classify(std::move(result)));
+}
+
+attempt_result backend_pool::impl::classify(exchange_result result) const
+{
+    if (!result.answered) return {result.sent ? attempt_end::lost : attempt_end::not_sent, {}, result.detail};
+    auto& response = result.response;
+    constexpr int status_misdirected = 421;
+    if (response.status == status_misdirected) return {attempt_end::wrong_server, {}, "another server at the address"};
+    if (!response.header(options.names.not_executed).empty()) {
+        return {attempt_end::not_executed, std::move(response), "shed"};
+    }
+    if (!response.header("content-encoding").empty()) return {attempt_end::lost, {}, "encoded response"};
+    return {attempt_end::answered, std::move(response), ""};
+}
+
+void backend_pool::impl::keep(backend_id const& server, std::unique_ptr<client_connection> connection)
+{
+    auto* raw = connection.get();
+    connection->on_idle_end([this, server, raw] {
+        // Removed later: this runs inside the connection's own callback.
+        loop.run_at(loop.now(), [this, server, raw] {
+            auto const found = idle.find(server.value());
+            if (found == idle.end()) return;
+            std::erase_if(found->second, [raw](auto const& each) { return each.get() == raw && !each->reusable(); });
+        });
+    });
+    idle[server.value()].push_back(std::move(connection));
+}
+
+void backend_pool::impl::sweep()
+{
+    auto const now = loop.now();
+    for (auto entry = idle.begin(); entry != idle.end();) {
+        std::erase_if(entry->second, [&](auto const& connection) {
+            return !connection->reusable() || connection->kept_until() < now + kept_margin ||
+                   connection->idle_since() + options.idle_limit < now;
+        });
+        entry = entry->second.empty() ? idle.erase(entry) : std::next(entry);
+    }
+    sweep_timer = loop.run_at(now + sweep_interval, [this] { sweep(); });
+}
+
+backend_pool::backend_pool(event_loop& loop, pool_options options,
+                           std::function<void(attempt_id, attempt_result)> on_result)
+    : m_impl(new impl{loop, std::move(options), std::move(on_result), {}, {}, 0, {}})
+{
+    m_impl->sweep();
+}
+
+backend_pool::~backend_pool() { m_impl->loop.cancel(m_impl->sweep_timer); }
+
+void backend_pool::send(attempt_order order) { m_impl->send(std::move(order)); }
+
+void backend_pool::cancel(attempt_id id)
+{
+    auto const found = m_impl->in_use.find(id.value());
+    if (found == m_impl->in_use.end()) return;
+    m_impl->loop.cancel(found->second.connect_timer);
+    m_impl->in_use.erase(found);
+}
+
+std::uint64_t backend_pool::connections_opened() const { return m_impl->opened; }
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/gateway/caller_server.cpp
@@ -0,0 +1,274 @@
+/** @file caller_server.cpp Connections of callers: strict reading, time limits, one answer for each request. */
+#include <cornelspring/gateway.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+namespace {
+
+/** Bytes of following requests held while one is served; a caller that pipelines more is cut off. */
+constexpr std::size_t held_limit = 256 * 1024;
+/** How long a refused caller may go on sending, so that a reset does not destroy the refusal on its way. */
+constexpr milliseconds linger_limit{1000};
+/** Start line and headers of a question to the system itself. */
+constexpr std::size_t local_header_limit = 8192;
+
+} // namespace
+
+/** State of the server. */
+struct caller_server::impl {
+    /** One connection. */
+    struct connection {
+        std::unique_ptr<tcp_stream> stream;     ///< TCP connection.
+        std::unique_ptr<message_reader> reader; ///< Request reader.
+        std::string held;                       ///< Bytes after the request being served.
+        std::optional<request_key> serving;     ///< Request being served.
+        bool local = false;                     ///< For questions to the system itself.
+        bool head = false;                      ///< The request served is HEAD.
+        bool close_after = false;               ///< Close when the answer has left.
+        bool refused = false;                   ///< Only read until the caller has seen the refusal.
+        bool continued = false;                 ///< 100 Continue was sent.
+        timer_id timer;                         ///< Idle, header or linger limit.
+    };
+    event_loop& loop;                                                    ///< Event loop.
+    hooks service;                                                       ///< Service.
+    std::vector<std::unique_ptr<tcp_listener>> listeners;                ///< Listening sockets.
+    std::unordered_map<std::uint64_t, std::unique_ptr<connection>> open; ///< By connection number.
+    std::unordered_map<std::uint64_t, std::uint64_t> serving;            ///< Connection by request key.
+    std::uint64_t last_connection = 0;                                   ///< Last connection number.
+    std::uint64_t last_key = 0;                                          ///< Last request key.
+    bool closing = false;                                                ///< Answers close their connections.
+    std::size_t caller_connections = 0;                                  ///< Connections that are not local.
+
+    void accept(int socket, bool local);
+    void on_bytes(std::uint64_t number, std::string_view bytes);
+    void read_requests(std::uint64_t number, std::string_view bytes);
+    void on_request(std::uint64_t number, connection& from);
+    void refuse(std::uint64_t number, int status, char const* reason);
+    void on_end(std::uint64_t number);
+    void remove(std::uint64_t number);
+    void set_timer(std::uint64_t number, connection& of, milliseconds limit);
+    void on_timer(std::uint64_t number);
+    void answer(request_key key, http_response response);
+    caller_limits limits_of(connection const& of) const;
+};
+
+namespace {
+
+/** @return how many headers are named @p name. */
+std::size_t count_headers(http_request const& request, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(request.headers.begin(), request.headers.end(),
+                                                  [name](http_header const& each) { return each.name == name; }));
+}
+
+/** @return the refusal for a message that cannot be read. */
+std::pair<int, char const*> refusal_of(parse_state state)
+{
+    switch (state) {
+    case parse_state::header_too_large: return {431, "headers exceed the limit"};
+    case parse_state::body_too_large: return {413, "body exceeds the limit"};
+    default: return {400, "not a valid HTTP/1.1 request"};
+    }
+}
+
+} // namespace
+
+caller_limits caller_server::impl::limits_of(connection const& of) const
+{
+    auto limits = service.limits();
+    if (of.local) limits.max_header_bytes = std::max(limits.max_header_bytes, local_header_limit);
+    return limits;
+}
+
+void caller_server::impl::accept(int socket, bool local)
+{
+    auto const number = ++last_connection;
+    auto made = std::make_unique<connection>();
+    made->local = local;
+    auto const limits = limits_of(*made);
+    made->reader = std::make_unique<message_reader>(message_reader::kind::request,
+                                                    message_limits{limits.max_header_bytes, limits.max_body_bytes});
+    stream_events events;
+    events.on_bytes = [this, number](std::string_view bytes) { on_bytes(number, bytes); };
+    events.on_end = [this, number](stream_end) { on_end(number); };
+    events.on_flushed = [this, number] {
+        auto const found = open.find(number);
+        if (found != open.end() && found->second->close_after && !found->second->serving) remove(number);
+    };
+    made->stream = std::make_unique<tcp_stream>(loop, socket, stream_options{}, std::move(events));
+    set_timer(number, *made, limits.idle_timeout);
+    open.emplace(number, std::move(made));
+    if (!local) ++caller_connections;
+}
+
+void caller_server::impl::set_timer(std::uint64_t number, connection& of, milliseconds limit)
+{
+    loop.cancel(of.timer);
+    of.timer = loop.run_at(loop.now() + limit, [this, number] { on_timer(number); });
+}
+
+void caller_server::impl::on_timer(std::uint64_t number)
+{
+    auto const found = open.find(number);
+    if (found == open.end() || found->second->serving) return;
+    if (found->second->refused || !found->second->reader->started()) {
+        remove(number);
+        return;
+    }
+    refuse(number, 408, "the request took too long to arrive");
+}
+
+void caller_server::impl::on_bytes(std::uint64_t number, std::string_view bytes)
+{
+    auto const found = open.find(number);
+    if (found == open.end()) return;
+    auto& from = *found->second;
+    if (from.refused || from.close_after) return;
+    if (!from.serving && from.held.empty()) {
+        read_requests(number, bytes);
+        return;
+    }
+    from.held.append(bytes);
+    if (from.held.size() > held_limit) {
+        service.on_refused(0, "too much was sent ahead");
+        on_end(number);
+    }
+}
+
+void caller_server::impl::read_requests(std::uint64_t number, std::string_view bytes)
+{
+    auto& from = *open.at(number);
+    bool const was_started = from.reader->started();
+    auto const used = from.reader->feed(bytes);
+    if (from.reader->state() == parse_state::incomplete) {
+        if (!was_started) set_timer(number, from, limits_of(from).header_timeout);
+        if (from.reader->expects_continue() && !from.continued) {
+            from.continued = true;
+            from.stream->send("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        return;
+    }
+    if (from.reader->state() != parse_state::complete) {
+        auto const [status, reason] = refusal_of(from.reader->state());
+        refuse(number, status, reason);
+        return;
+    }
+    from.held.assign(bytes.substr(used));
+    on_request(number, from);
+}
+
+void caller_server::impl::on_request(std::uint64_t number, connection& from)
+{
+    auto& request = from.reader->request();
+    if (request.path.empty() || request.path.front() != '/' || count_headers(request, "host") != 1) {
+        refuse(number, 400, "a request needs a path and one Host");
+        return;
+    }
+    request_key const key(++last_key);
+    from.serving = key;
+    from.head = request.method == "HEAD";
+    from.close_after = closing || !from.reader->keep_alive();
+    from.continued = false;
+    serving.emplace(key.value(), number);
+    loop.cancel(from.timer);
+    service.on_request({key, std::move(request), from.local});
+}
+
+void caller_server::impl::refuse(std::uint64_t number, int status, char const* reason)
+{
+    auto& from = *open.at(number);
+    service.on_refused(status, reason);
+    http_response response;
+    response.status = status;
+    response.headers.push_back({"content-type", "text/plain"});
+    response.body = std::string(reason) + "\n";
+    from.refused = true;
+    from.stream->send(serialize(response, true));
+    set_timer(number, from, linger_limit);
+}
+
+void caller_server::impl::on_end(std::uint64_t number)
+{
+    auto const found = open.find(number);
+    if (found == open.end()) return;
+    auto const serving_key = found->second->serving;
+    remove(number);
+    if (serving_key) service.on_gone(*serving_key);
+}
+
+void caller_server::impl::remove(std::uint64_t number)
+{
+    auto const found = open.find(number);
+    if (found == open.end()) return;
+    auto const entry = std::move(found->second);
+    open.erase(found);
+    loop.cancel(entry->timer);
+    if (entry->serving) serving.erase(entry->serving->value());
+    if (!entry->local) --caller_connections;
+}
+
+void caller_server::impl::answer(request_key key, http_response response)
+{
+    auto const found = serving.find(key.value());
+    if (found == serving.end()) return;
+    auto const number = found->second;
+    serving.erase(found);
+    auto& to = *open.at(number);
+    to.serving.reset();
+    to.close_after = to.close_after || closing;
+    to.stream->send(serialize(response, to.close_after, to.head));
+    if (to.close_after) {
+        if (to.stream->unsent() == 0) {
+            // Not at once: the answer may be given while the connection's own callback runs.
+            loop.run_at(loop.now(), [this, number] { remove(number); });
+        } else {
+            set_timer(number, to, linger_limit);
+            to.refused = true;
+        }
+        return;
+    }
+    to.reader->restart();
+    set_timer(number, to, limits_of(to).idle_timeout);
+    if (to.held.empty()) return;
+    loop.run_at(loop.now(), [this, number] {
+        auto const again = open.find(number);
+        if (again == open.end() || again->second->serving) return;
+        auto const bytes = std::move(again->second->held);
+        again->second->held.clear();
+        read_requests(number, bytes);
+    });
+}
+
+caller_server::caller_server(event_loop& loop, hooks hooks)
+    : m_impl(new impl{loop, std::move(hooks), {}, {}, {}, 0, 0, false, 0})
+{
+}
+
+caller_server::~caller_server() = default;
+
+void caller_server::listen(endpoint const& address, bool local)
+{
+    auto* state = m_impl.get();
+    m_impl->listeners.push_back(std::make_unique<tcp_listener>(
+        m_impl->loop, address, [state, local](int socket) { state->accept(socket, local); }));
+}
+
+void caller_server::answer(request_key key, http_response response) { m_impl->answer(key, std::move(response)); }
+
+void caller_server::close_after_answers() { m_impl->closing = true; }
+
+void caller_server::stop_listening()
+{
+    m_impl->listeners.clear();
+    std::vector<std::uint64_t> idle;
+    for (auto const& [number, each] : m_impl->open) {
+        if (!each->serving && !each->reader->started()) idle.push_back(number);
+    }
+    for (auto const number : idle)
+        m_impl->remove(number);
+}
+
+std::size_t caller_server::connections() const { return m_impl->caller_connections; }
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/gateway/client_connection.cpp
@@ -0,0 +1,114 @@
+/** @file client_connection.cpp One HTTP/1.1 exchange at a time on a connection to a peer. */
+#include <cornelspring/gateway.hpp>
+
+#include <charconv>
+
+namespace cornelspring {
+namespace {
+
+/** Taken off the peer's announced idle time, so that no request crosses its close. */
+constexpr milliseconds keep_alive_margin{400};
+
+} // namespace
+
+client_connection::client_connection(event_loop& loop, endpoint const& peer, stream_options options,
+                                     message_limits limits)
+    : m_loop(loop), m_reader(message_reader::kind::response, limits)
+{
+    stream_events events;
+    events.on_connected = [this] { m_established = true; };
+    events.on_bytes = [this](std::string_view bytes) { on_bytes(bytes); };
+    events.on_end = [this](stream_end how) { on_end(how); };
+    m_stream = std::make_unique<tcp_stream>(loop, peer, options, std::move(events));
+}
+
+void client_connection::start(exchange next)
+{
+    m_exchange = std::move(next);
+    m_reader.restart();
+    if (m_exchange->head) m_reader.expect_no_body();
+    m_stream->send(m_exchange->bytes);
+}
+
+bool client_connection::reusable() const { return !m_broken && m_stream->open() && !m_exchange; }
+
+void client_connection::on_bytes(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        if (!m_exchange) { // Bytes that no request waits for belong to nobody.
+            m_broken = true;
+            if (m_idle_end) m_idle_end();
+            return;
+        }
+        auto const used = m_reader.feed(bytes);
+        bytes.remove_prefix(used);
+        if (m_reader.state() == parse_state::incomplete) return;
+        if (m_reader.state() != parse_state::complete) {
+            m_broken = true;
+            end_exchange({false, true, {}, "malformed response"});
+            return;
+        }
+        if (m_exchange->matches(m_reader.response()) == match::mine) {
+            take_response(bytes);
+            return;
+        }
+        // A late answer to an earlier request: the awaited one may still follow, but the connection is suspect.
+        m_broken = true;
+        m_reader.restart();
+        if (m_exchange->head) m_reader.expect_no_body();
+    }
+}
+
+void client_connection::take_response(std::string_view rest)
+{
+    // Bytes after the answer, or an answer before the whole request has left, make the connection unusable.
+    if (!rest.empty() || !m_reader.keep_alive() || m_stream->unsent() > 0) m_broken = true;
+    exchange_result result{true, true, std::move(m_reader.response()), ""};
+    note_keep_alive(result.response);
+    end_exchange(std::move(result));
+}
+
+void client_connection::note_keep_alive(http_response const& response)
+{
+    auto const value = response.header("keep-alive");
+    auto const at = value.find("timeout=");
+    if (at == std::string::npos) return;
+    int seconds = 0;
+    auto const* begin = value.data() + at + std::string_view("timeout=").size();
+    if (std::from_chars(begin, value.data() + value.size(), seconds).ec != std::errc()) return;
+    m_kept_until = m_loop.now() + std::chrono::seconds(seconds) - keep_alive_margin;
+}
+
+void client_connection::on_end(stream_end how)
+{
+    m_broken = true;
+    if (!m_exchange) {
+        if (m_idle_end) m_idle_end();
+        return;
+    }
+    if (how == stream_end::closed && m_reader.headers_done()) {
+        m_reader.finish();
+        if (m_reader.state() == parse_state::complete && m_exchange->matches(m_reader.response()) == match::mine) {
+            take_response({});
+            return;
+        }
+    }
+    bool const sent = how != stream_end::connect_failed;
+    char const* detail = !sent                       ? "connection refused"
+                         : m_reader.started()        ? "response cut short"
+                         : how == stream_end::closed ? "closed without a response"
+                         : m_used                    ? "kept connection reset"
+                                                     : "reset without a response";
+    end_exchange({false, sent, {}, detail});
+}
+
+void client_connection::end_exchange(exchange_result result)
+{
+    auto const done = std::move(m_exchange->done);
+    m_exchange.reset();
+    m_used = true;
+    m_idle_since = m_loop.now();
+    done(std::move(result)); // May destroy this object.
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/gateway/gateway_log.hpp
@@ -0,0 +1,43 @@
+/** @file gateway_log.hpp The gateway's decision log: one JSON line for each decision (internal). */
+#pragma once
+
+#include <cornelspring/gateway.hpp>
+
+namespace cornelspring {
+
+/** Writes the gateway's log lines. Good requests are sampled under load, so that the volume stays bounded. */
+class gateway_log {
+public:
+    /** @param loop source of the time. */
+    explicit gateway_log(event_loop& loop) : m_loop(loop), m_logger(get_logger("gateway")) {}
+    /** A request ended. @param summary what became of it. */
+    void on_request(request_summary const& summary);
+    /** A request was refused while it was read. @param status status answered. @param reason why. */
+    void on_refused(int status, char const* reason);
+    /** A dependency was lost or regained. @param name which. @param change lost or regained. @param outage length. */
+    void dependency(char const* name, char const* change, milliseconds outage);
+    /** A store item cannot be read. @param key its key. @param revision its revision. @param reason why. */
+    void bad_item(std::string const& key, std::int64_t revision, char const* reason);
+    /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
+    void config(config_version version, std::int64_t revision, bool applied);
+    /** The belief about a backend server changed. @param id which. @param state new state. @param revision source. */
+    void backend(backend_id const& id, char const* state, std::int64_t revision);
+    /** A gateway joined or left. @param key its store key. @param change joined or left. @param revision source. */
+    void member(std::string const& key, char const* change, std::int64_t revision);
+    /** The process started, stops or reloads. @param event which. */
+    void process(char const* event);
+
+private:
+    /** Writes one line. @param fields its fields, beginning with "event". */
+    void write(nlohmann::json const& fields);
+    /** @return whether a line of a frequent kind may be written now. */
+    bool allowed();
+
+    event_loop& m_loop;           ///< Time.
+    log4cplus::Logger m_logger;   ///< Logger.
+    std::int64_t m_second = 0;    ///< Present second.
+    int m_lines = 0;              ///< Frequent lines written in it.
+    std::uint64_t m_left_out = 0; ///< Lines left out since the last one written.
+};
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,56 @@
+/** @file gateway_metrics.cpp Counters and histograms of the gateway. */
+#include "gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace cornelspring {
+namespace {
+
+/** Latency buckets in seconds. */
+prometheus::Histogram::BucketBoundaries const latency_buckets{0.005, 0.01, 0.02, 0.05, 0.1, 0.15,
+                                                              0.25,  0.5,  1,    2,    5,   10};
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+    : m_registry(std::make_shared<prometheus::Registry>()), m_requests(prometheus::BuildCounter()
+                                                                           .Name("cornel_gateway_requests_total")
+                                                                           .Help("Requests by route and outcome")
+                                                                           .Register(*m_registry)),
+      m_latency(prometheus::BuildHistogram()
+                    .Name("cornel_gateway_request_seconds")
+                    .Help("Time from arrival to answer by route")
+                    .Register(*m_registry)),
+      m_attempts(prometheus::BuildCounter()
+                     .Name("cornel_gateway_attempts_total")
+                     .Help("Attempts at backend servers by how they ended")
+                     .Register(*m_registry)),
+      m_extra(prometheus::BuildCounter()
+                  .Name("cornel_gateway_extra_attempts_total")
+                  .Help("Attempts beyond the first of a shard: hedges and retries")
+                  .Register(*m_registry)),
+      m_state(prometheus::BuildGauge().Name("cornel_gateway_state").Help("Open work").Register(*m_registry))
+{
+}
+
+void gateway_metrics::on_request(request_summary const& summary)
+{
+    m_requests.Add({{"route", summary.route_name}, {"outcome", summary.reason}}).Increment();
+    m_latency.Add({{"route", summary.route_name}}, latency_buckets)
+        .Observe(std::chrono::duration<double>(summary.took).count());
+    if (summary.hedges > 0) m_extra.Add({{"kind", "hedge"}}).Increment(summary.hedges);
+    if (summary.retries > 0) m_extra.Add({{"kind", "retry"}}).Increment(summary.retries);
+}
+
+void gateway_metrics::on_attempt(attempt_end end) { m_attempts.Add({{"end", to_string(end)}}).Increment(); }
+
+void gateway_metrics::set_state(std::size_t open, std::size_t connections, std::uint64_t opened)
+{
+    m_state.Add({{"what", "open_requests"}}).Set(static_cast<double>(open));
+    m_state.Add({{"what", "caller_connections"}}).Set(static_cast<double>(connections));
+    m_state.Add({{"what", "backend_connections_opened"}}).Set(static_cast<double>(opened));
+}
+
+std::string gateway_metrics::text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,188 @@
+/** @file event_loop.cpp libwebsockets as the poll loop of one thread, and its timers. */
+#include "event_loop_impl.hpp"
+
+#include "socket.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace cornelspring {
+namespace {
+
+/** Write end of the signal pipe; a signal handler may only use this. */
+int g_signal_pipe = -1;
+
+/** Passes a signal number to the loop. */
+void forward_signal(int number)
+{
+    auto const byte = static_cast<unsigned char>(number);
+    [[maybe_unused]] auto const written = write(g_signal_pipe, &byte, 1);
+}
+
+/** libwebsockets' callback for every registered descriptor. */
+int on_lws_event(lws* wsi, lws_callback_reasons reason, void*, void*, std::size_t)
+{
+    auto* watch = static_cast<descriptor_watch*>(lws_get_opaque_user_data(wsi));
+    if (watch == nullptr) return 0;
+    watch->loop->refresh_now();
+    switch (reason) {
+    case LWS_CALLBACK_RAW_RX_FILE:
+        if (watch->on_readable) watch->on_readable();
+        break;
+    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        if (watch->on_writable) watch->on_writable();
+        break;
+    case LWS_CALLBACK_RAW_CLOSE_FILE: {
+        lws_set_opaque_user_data(wsi, nullptr);
+        auto const keep = std::move(watch->self);
+        watch->wsi = nullptr;
+        if (watch->on_removed) watch->on_removed();
+        return 0;
+    }
+    default: break;
+    }
+    return watch->closing ? -1 : 0;
+}
+
+lws_protocols const loop_protocols[] = {{"descriptor", on_lws_event, 0, 0, 0, nullptr, 0},
+                                        {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+
+/** Runs the timers that are due. */
+void on_timer(lws_sorted_usec_list_t* list)
+{
+    auto* holder = lws_container_of(list, event_loop::impl::timer_holder, list);
+    holder->owner->run_due();
+}
+
+} // namespace
+
+void descriptor_watch::want_write()
+{
+    if (wsi != nullptr) lws_callback_on_writable(wsi);
+}
+
+void descriptor_watch::close()
+{
+    on_readable = nullptr;
+    on_writable = nullptr;
+    on_removed = nullptr;
+    closing = true;
+    if (wsi != nullptr) lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+bool event_loop::impl::watch(std::shared_ptr<descriptor_watch> const& entry)
+{
+    entry->loop = this;
+    entry->self = entry;
+    lws_adopt_desc_t adopt{};
+    adopt.vh = vhost;
+    adopt.type = LWS_ADOPT_RAW_FILE_DESC;
+    adopt.fd.filefd = entry->fd;
+    adopt.vh_prot_name = loop_protocols[0].name;
+    adopt.opaque = entry.get();
+    entry->wsi = lws_adopt_descriptor_vhost_via_info(&adopt);
+    if (entry->wsi != nullptr) return true;
+    entry->self.reset();
+    return false;
+}
+
+void event_loop::impl::run_due()
+{
+    refresh_now();
+    scheduled = time_point::max();
+    while (!timers.empty() && timers.begin()->first.first <= now) {
+        auto task = std::move(timers.begin()->second);
+        timer_times.erase(timers.begin()->first.second);
+        timers.erase(timers.begin());
+        task();
+    }
+    schedule();
+}
+
+void event_loop::impl::schedule()
+{
+    if (timers.empty()) return;
+    auto const due = timers.begin()->first.first;
+    if (due >= scheduled) return;
+    scheduled = due;
+    auto const wait = std::chrono::duration_cast<std::chrono::microseconds>(due - clock::now()).count();
+    lws_sul_schedule(context, 0, &holder.list, on_timer, std::max<std::int64_t>(wait, 1));
+}
+
+event_loop::event_loop() : m_impl(std::make_unique<impl>())
+{
+    detail::route_lws_logs();
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = loop_protocols;
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.pt_serv_buf_size = 4096; // Unused by raw descriptors; the default of 4 KiB would do, smaller saves nothing.
+    m_impl->context = lws_create_context(&info);
+    m_impl->vhost = m_impl->context == nullptr ? nullptr : lws_get_vhost_by_name(m_impl->context, "default");
+    if (m_impl->vhost == nullptr) {
+        throw error(error_kind::internal, "cannot create the event loop.", "Raise the limit of open files.");
+    }
+    m_impl->holder.owner = m_impl.get();
+    m_impl->refresh_now();
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+event_loop::~event_loop() { lws_context_destroy(m_impl->context); }
+
+void event_loop::run()
+{
+    m_impl->running = true;
+    while (m_impl->running && lws_service(m_impl->context, 0) >= 0) {
+    }
+}
+
+void event_loop::stop()
+{
+    m_impl->running = false;
+    lws_cancel_service(m_impl->context);
+}
+
+time_point event_loop::now() const { return m_impl->now; }
+
+timer_id event_loop::run_at(time_point when, std::function<void()> task)
+{
+    auto const id = ++m_impl->last_timer;
+    m_impl->timers.emplace(std::make_pair(when, id), std::move(task));
+    m_impl->timer_times.emplace(id, when);
+    m_impl->schedule();
+    return timer_id(id);
+}
+
+void event_loop::cancel(timer_id id)
+{
+    auto const found = m_impl->timer_times.find(id.value());
+    if (found == m_impl->timer_times.end()) return;
+    m_impl->timers.erase({found->second, found->first});
+    m_impl->timer_times.erase(found);
+}
+
+void event_loop::on_signals(std::vector<int> const& signals, std::function<void(int)> handler)
+{
+    int ends[2];
+    if (pipe2(ends, O_NONBLOCK | O_CLOEXEC) != 0) {
+        throw error(error_kind::internal, "cannot create the signal pipe.", "Raise the limit of open files.");
+    }
+    g_signal_pipe = ends[1];
+    auto entry = std::make_shared<descriptor_watch>();
+    entry->fd = ends[0];
+    entry->on_readable = [fd = ends[0], handler = std::move(handler)] {
+        unsigned char numbers[16];
+        auto const got = read(fd, numbers, sizeof numbers);
+        for (ssize_t i = 0; i < got; ++i)
+            handler(numbers[i]);
+    };
+    m_impl->watch(entry);
+    struct sigaction action {};
+    action.sa_handler = forward_signal;
+    for (int const number : signals)
+        sigaction(number, &action, nullptr);
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/net/event_loop_impl.hpp
@@ -0,0 +1,56 @@
+/** @file event_loop_impl.hpp State of the event loop and of one registered descriptor (internal). */
+#pragma once
+
+#include <cornelspring/net.hpp>
+
+#include <map>
+#include <unordered_map>
+
+#include <libwebsockets.h>
+
+namespace cornelspring {
+
+/** One descriptor registered with libwebsockets' raw-file role, which polls it and closes it. */
+struct descriptor_watch {
+    int fd = -1;                            ///< The descriptor; closed by libwebsockets.
+    bool closing = false;                   ///< close() was called.
+    lws* wsi = nullptr;                     ///< libwebsockets' handle; null once closed.
+    event_loop::impl* loop = nullptr;       ///< Owner.
+    std::shared_ptr<descriptor_watch> self; ///< Keeps this alive while libwebsockets points to it.
+    std::function<void()> on_readable;      ///< Readable, or ended.
+    std::function<void()> on_writable;      ///< Writable after want_write().
+    std::function<void()> on_removed;       ///< libwebsockets closed it (hang-up without unread bytes).
+    /** Asks for one on_writable. */
+    void want_write();
+    /** Closes the descriptor soon; no hook is called any more. */
+    void close();
+};
+
+/** State of an event loop. */
+struct event_loop::impl {
+    /** A libwebsockets timer entry that knows its loop. */
+    struct timer_holder {
+        lws_sorted_usec_list_t list{}; ///< Entry in libwebsockets' timer list.
+        impl* owner = nullptr;         ///< The loop.
+    };
+    lws_context* context = nullptr;                                               ///< libwebsockets context.
+    lws_vhost* vhost = nullptr;                                                   ///< Its only virtual host.
+    timer_holder holder;                                                          ///< Wakes at the earliest timer.
+    time_point now;                                                               ///< Time of the present callback.
+    time_point scheduled = time_point::max();                                     ///< Due time of `holder`.
+    bool running = false;                                                         ///< run() goes on.
+    std::uint64_t last_timer = 0;                                                 ///< Last timer id given out.
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> timers; ///< By due time, then id.
+    std::unordered_map<std::uint64_t, time_point> timer_times;                    ///< Due time by id.
+
+    /** Reads the clock. */
+    void refresh_now() { now = clock::now(); }
+    /** Registers @p entry. @return false when libwebsockets refused it (it then closed the descriptor). */
+    bool watch(std::shared_ptr<descriptor_watch> const& entry);
+    /** Runs the timers that are due and schedules the next. */
+    void run_due();
+    /** Makes libwebsockets wake the loop for the earliest timer. */
+    void schedule();
+};
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,292 @@
+/** @file http_message.cpp Strict HTTP/1.1 parsing with Debian's http_parser, and serialisation. */
+#include <cornelspring/net.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+#include <http_parser.h>
+
+namespace cornelspring {
+
+/** State of a message reader. */
+struct message_reader::impl {
+    http_parser parser{};         ///< Parser state.
+    kind what;                    ///< Requests or responses.
+    message_limits limits;        ///< Limits.
+    parse_state state{};          ///< Progress.
+    http_request request;         ///< Request being read.
+    http_response response;       ///< Response being read.
+    std::size_t header_bytes = 0; ///< Bytes read before the headers were complete.
+    bool started = false;         ///< A byte of this message was read.
+    bool headers_done = false;    ///< Headers complete.
+    bool value_next = false;      ///< The last header field got its value.
+    bool keep_alive = false;      ///< Connection stays open after the message.
+    bool has_length = false;      ///< Content-Length or chunked.
+    bool no_body = false;         ///< Response to HEAD.
+    bool interim = false;         ///< The present response is a 1xx.
+
+    /** @return the headers of the message being read. */
+    std::vector<http_header>& headers() { return what == kind::request ? request.headers : response.headers; }
+    /** @return the body of the message being read. */
+    std::string& body() { return what == kind::request ? request.body : response.body; }
+    /** Forgets the message read, and parses the next. */
+    void restart()
+    {
+        http_parser_init(&parser, what == kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+        request = {};
+        request.path.clear();
+        response = {};
+        header_bytes = 0;
+        state = parse_state::incomplete;
+        started = headers_done = value_next = keep_alive = has_length = no_body = interim = false;
+    }
+};
+
+namespace {
+
+using reader_state = message_reader::impl;
+
+/** @return the reader behind @p parser. */
+reader_state& state_of(http_parser* parser) { return *static_cast<reader_state*>(parser->data); }
+
+/** Appends @p text in lower case to @p out. */
+void append_lower(std::string& out, char const* text, std::size_t length)
+{
+    for (std::size_t i = 0; i < length; ++i) {
+        out.push_back(static_cast<char>(std::tolower(static_cast<unsigned char>(text[i]))));
+    }
+}
+
+/** Appends to the request target. */
+int on_url(http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = state_of(parser);
+    reader.request.path.append(at, length);
+    return 0;
+}
+
+/** Appends to a header name. */
+int on_field(http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = state_of(parser);
+    auto& headers = reader.headers();
+    if (headers.empty() || reader.value_next) headers.emplace_back();
+    reader.value_next = false;
+    append_lower(headers.back().name, at, length);
+    return 0;
+}
+
+/** Appends to a header value. */
+int on_value(http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = state_of(parser);
+    reader.headers().back().value.append(at, length);
+    reader.value_next = true;
+    return 0;
+}
+
+/** Notes what the headers say of the body and the connection. */
+int on_headers(http_parser* parser)
+{
+    auto& reader = state_of(parser);
+    if (parser->http_major != 1) {
+        reader.state = parse_state::malformed;
+        return -1;
+    }
+    reader.headers_done = true;
+    reader.has_length = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+    if (reader.what == message_reader::kind::request) {
+        if (parser->method != HTTP_CONNECT) parser->upgrade = 0; // An offer to upgrade may be ignored (RFC 9110, 7.8).
+        reader.request.method = http_method_str(static_cast<http_method>(parser->method));
+    } else {
+        reader.interim = parser->status_code / 100 == 1;
+        reader.response.status = parser->status_code;
+        parser->upgrade = 0;
+    }
+    if (reader.has_length && (parser->flags & F_CONTENTLENGTH) != 0 &&
+        parser->content_length > reader.limits.max_body_bytes) {
+        reader.state = parse_state::body_too_large;
+        return -1;
+    }
+    return reader.no_body ? 1 : 0;
+}
+
+/** Appends to the body. */
+int on_body(http_parser* parser, char const* at, std::size_t length)
+{
+    auto& reader = state_of(parser);
+    if (reader.body().size() + length > reader.limits.max_body_bytes) {
+        reader.state = parse_state::body_too_large;
+        return -1;
+    }
+    reader.body().append(at, length);
+    return 0;
+}
+
+/** Ends the message and pauses, so that the bytes after it stay unread. */
+int on_complete(http_parser* parser)
+{
+    auto& reader = state_of(parser);
+    if (reader.interim) { // 100 Continue and its kin come before the response proper.
+        reader.response = {};
+        reader.headers_done = reader.value_next = reader.interim = false;
+        return 0;
+    }
+    reader.keep_alive = http_should_keep_alive(parser) != 0;
+    reader.state = parse_state::complete;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+/** @return the parser's callbacks. */
+http_parser_settings make_callbacks()
+{
+    http_parser_settings callbacks{};
+    callbacks.on_url = on_url;
+    callbacks.on_header_field = on_field;
+    callbacks.on_header_value = on_value;
+    callbacks.on_headers_complete = on_headers;
+    callbacks.on_body = on_body;
+    callbacks.on_message_complete = on_complete;
+    return callbacks;
+}
+
+http_parser_settings const callbacks = make_callbacks();
+
+/** Headers that concern one connection only (RFC 9110, 7.6.1), and the length that serialisation sets anew. */
+constexpr std::array<std::string_view, 9> hop_by_hop_names = {"connection", "keep-alive",     "proxy-connection",
+                                                              "te",         "trailer",        "transfer-encoding",
+                                                              "upgrade",    "content-length", "expect"};
+
+/** @return the reason phrase of @p status. */
+char const* reason_of(int status)
+{
+    switch (status) {
+#define CORNEL_REASON(number, name, text)                                                                              \
+    case number: return #text;
+        HTTP_STATUS_MAP(CORNEL_REASON)
+#undef CORNEL_REASON
+    default: return "Other";
+    }
+}
+
+/** Appends the headers of a message. */
+void append_headers(std::string& out, std::vector<http_header> const& headers)
+{
+    for (auto const& header : headers) {
+        out.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+}
+
+} // namespace
+
+message_reader::message_reader(kind what, message_limits limits) : m_impl(std::make_unique<impl>())
+{
+    m_impl->what = what;
+    m_impl->limits = limits;
+    m_impl->restart();
+}
+
+message_reader::~message_reader() = default;
+
+std::size_t message_reader::feed(std::string_view bytes)
+{
+    auto& reader = *m_impl;
+    if (reader.state != parse_state::incomplete || bytes.empty()) return 0;
+    reader.started = true;
+    bool const in_headers = !reader.headers_done;
+    auto const used = http_parser_execute(&reader.parser, &callbacks, bytes.data(), bytes.size());
+    if (in_headers) {
+        // Body bytes of this call are no header bytes.
+        reader.header_bytes += used - std::min(used, reader.body().size());
+        if (reader.header_bytes > reader.limits.max_header_bytes) reader.state = parse_state::header_too_large;
+    }
+    auto const failure = HTTP_PARSER_ERRNO(&reader.parser);
+    if (reader.state == parse_state::complete || reader.state != parse_state::incomplete) return used;
+    if (failure == HPE_HEADER_OVERFLOW) {
+        reader.state = parse_state::header_too_large;
+    } else if (failure != HPE_OK) {
+        reader.state = parse_state::malformed;
+    }
+    return used;
+}
+
+void message_reader::finish()
+{
+    auto& reader = *m_impl;
+    if (reader.state != parse_state::incomplete) return;
+    http_parser_execute(&reader.parser, &callbacks, nullptr, 0);
+    if (reader.state == parse_state::incomplete) reader.state = parse_state::truncated;
+}
+
+void message_reader::restart() { m_impl->restart(); }
+void message_reader::expect_no_body() { m_impl->no_body = true; }
+parse_state message_reader::state() const { return m_impl->state; }
+bool message_reader::started() const { return m_impl->started; }
+bool message_reader::headers_done() const { return m_impl->headers_done; }
+bool message_reader::has_length() const { return m_impl->has_length; }
+bool message_reader::keep_alive() const { return m_impl->keep_alive; }
+http_request& message_reader::request() { return m_impl->request; }
+http_response& message_reader::response() { return m_impl->response; }
+
+bool message_reader::expects_continue() const
+{
+    return m_impl->headers_done && m_impl->state == parse_state::incomplete &&
+           same_header(m_impl->request.header("expect"), "100-continue");
+}
+
+bool same_header(std::string_view left, std::string_view right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+bool is_hop_by_hop(std::string_view name)
+{
+    return std::any_of(hop_by_hop_names.begin(), hop_by_hop_names.end(),
+                       [name](std::string_view known) { return same_header(known, name); });
+}
+
+void remove_hop_by_hop(std::vector<http_header>& headers)
+{
+    std::string named = ",";
+    for (auto const& header : headers) {
+        if (same_header(header.name, "connection"))
+            append_lower(named, (header.value + ",").data(), header.value.size() + 1);
+    }
+    named.erase(std::remove(named.begin(), named.end(), ' '), named.end());
+    std::erase_if(headers, [&named](http_header const& header) {
+        return is_hop_by_hop(header.name) || named.find("," + header.name + ",") != std::string::npos;
+    });
+}
+
+std::string serialize(http_request const& request)
+{
+    std::string out;
+    out.reserve(256 + request.body.size());
+    out.append(request.method).append(" ").append(request.path).append(" HTTP/1.1\r\n");
+    append_headers(out, request.headers);
+    bool const has_body = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    if (has_body) out.append("content-length: ").append(std::to_string(request.body.size())).append("\r\n");
+    out.append("\r\n").append(request.body);
+    return out;
+}
+
+std::string serialize(http_response const& response, bool close, bool head_only)
+{
+    std::string out;
+    out.reserve(256 + response.body.size());
+    out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ").append(reason_of(response.status));
+    out.append("\r\n");
+    append_headers(out, response.headers);
+    bool const bodiless = response.status == 204 || response.status == 304 || response.status / 100 == 1;
+    if (!bodiless) out.append("content-length: ").append(std::to_string(response.body.size())).append("\r\n");
+    if (close) out.append("connection: close\r\n");
+    out.append("\r\n");
+    if (!bodiless && !head_only) out.append(response.body);
+    return out;
+}
+
+} // namespace cornelspring
--- a/src/transport/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,7 +1,7 @@
 /** @file socket.cpp Plain socket helpers, the task queue, response helpers and stop signals. */
 #include "socket.hpp"
 
-#include <cornelspring/transport.hpp>
+#include <cornelspring/net.hpp>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <csignal>
 #include <cstring>
 #include <nlohmann/json.hpp>
 
@@ -76,8 +75,29 @@
     return ntohs(reinterpret_cast<sockaddr_in*>(&address)->sin_port);
 }
 
+/** @return a connecting socket to a numeric IPv4 address, or -1. @param host address. @param port port. */
+int connect_ipv4(in_addr host, std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr = host;
+    address.sin_port = htons(port);
+    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    if (fd < 0) return -1;
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 && errno != EINPROGRESS) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
 int connect_tcp(endpoint const& peer)
 {
+    // A numeric IPv4 address, the usual case, needs no resolver.
+    in_addr numeric{};
+    if (inet_pton(AF_INET, peer.host.c_str(), &numeric) == 1) return connect_ipv4(numeric, peer.port);
     addrinfo* found = resolve(peer, false);
     if (found == nullptr) return -1;
     int fd = socket(found->ai_family, SOCK_STREAM, 0);
@@ -134,10 +154,6 @@
 } // namespace detail
 
 namespace {
-/** Set by the stop signals. */
-volatile std::sig_atomic_t g_stop_requested = 0;
-/** Records a stop signal. */
-void on_stop_signal(int) { g_stop_requested = 1; }
 /** @return the value of header @p name in @p headers. */
 std::string find_header(std::vector<http_header> const& headers, std::string const& name)
 {
@@ -180,20 +196,4 @@
     return response;
 }
 
-void install_stop_signals()
-{
-    struct sigaction action {};
-    action.sa_handler = on_stop_signal;
-    sigaction(SIGTERM, &action, nullptr);
-    sigaction(SIGINT, &action, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-void wait_for_stop_signal()
-{
-    while (g_stop_requested == 0) {
-        usleep(20 * 1000);
-    }
-}
-
 } // namespace cornelspring
--- /dev/null
+++ b/src/net/tcp_stream.cpp
@@ -0,0 +1,220 @@
+/** @file tcp_stream.cpp Non-blocking TCP connections and listeners on the event loop. */
+#include "event_loop_impl.hpp"
+#include "socket.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+
+namespace cornelspring {
+
+/** State of a stream, shared with the loop while the descriptor is registered. */
+struct tcp_stream::impl : std::enable_shared_from_this<tcp_stream::impl> {
+    std::shared_ptr<descriptor_watch> watch = std::make_shared<descriptor_watch>(); ///< Registration.
+    stream_events events;                                                           ///< Owner's hooks.
+    std::string pending;                                                            ///< Bytes not yet sent.
+    std::size_t pending_from = 0;                                                   ///< First unsent byte of pending.
+    bool connecting = false;                                                        ///< Not yet established.
+    bool ended = false; ///< on_end was or will not be called.
+
+    /** Registers @p fd. */
+    void start(event_loop& loop, int fd, stream_options const& options);
+    /** Reads what has arrived and reports it. */
+    void read_some();
+    /** Goes on connecting or sending. */
+    void write_some();
+    /** Sends @p bytes until the socket takes no more. @return bytes taken. */
+    std::size_t push(std::string_view bytes);
+    /** Reports the end once. */
+    void end(stream_end how);
+};
+
+namespace {
+
+/** Bytes read by one call; a larger buffer only helps bodies beyond this. */
+constexpr std::size_t read_size = 64 * 1024;
+/** Read calls of one event before other descriptors get their turn. */
+constexpr int reads_per_event = 4;
+/** Connections accepted by one event before other descriptors get their turn. */
+constexpr int accepts_per_event = 32;
+/** Seconds between keep-alive probes; with keep_alive_probes, a silent peer is found in about four seconds. */
+constexpr int keep_alive_interval_s = 1;
+/** Unanswered keep-alive probes that end a connection. */
+constexpr int keep_alive_probes = 3;
+
+/** Sets an integer socket option; a refusal is harmless, as every wait has a timer of its own. */
+void set_option(int fd, int level, int name, int value) { setsockopt(fd, level, name, &value, sizeof value); }
+
+/** Applies @p options to @p fd. */
+void apply_options(int fd, stream_options const& options)
+{
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(options.unacknowledged_limit.count()));
+    if (!options.keep_alive) return;
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
+} // namespace
+
+void tcp_stream::impl::start(event_loop& loop, int fd, stream_options const& options)
+{
+    apply_options(fd, options);
+    watch->fd = fd;
+    std::weak_ptr<impl> const weak = weak_from_this();
+    watch->on_readable = [weak] {
+        if (auto const self = weak.lock()) self->read_some();
+    };
+    watch->on_writable = [weak] {
+        if (auto const self = weak.lock()) self->write_some();
+    };
+    watch->on_removed = [weak] {
+        if (auto const self = weak.lock()) self->end(self->connecting ? stream_end::connect_failed : stream_end::reset);
+    };
+    if (!loop.state().watch(watch)) {
+        loop.run_at(loop.now(), [weak] {
+            if (auto const self = weak.lock()) self->end(stream_end::connect_failed);
+        });
+        return;
+    }
+    if (connecting) watch->want_write();
+}
+
+void tcp_stream::impl::read_some()
+{
+    static thread_local std::array<char, read_size> buffer;
+    auto const keep = shared_from_this();
+    for (int i = 0; i < reads_per_event && !ended; ++i) {
+        auto const got = recv(watch->fd, buffer.data(), buffer.size(), 0);
+        if (got > 0) {
+            if (events.on_bytes) events.on_bytes({buffer.data(), static_cast<std::size_t>(got)});
+            if (static_cast<std::size_t>(got) < buffer.size()) return;
+            continue;
+        }
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+        end(got == 0 ? stream_end::closed : connecting ? stream_end::connect_failed : stream_end::reset);
+        return;
+    }
+}
+
+void tcp_stream::impl::write_some()
+{
+    if (ended) return;
+    auto const keep = shared_from_this();
+    if (connecting) {
+        int failure = 0;
+        socklen_t length = sizeof failure;
+        getsockopt(watch->fd, SOL_SOCKET, SO_ERROR, &failure, &length);
+        if (failure != 0) {
+            end(stream_end::connect_failed);
+            return;
+        }
+        connecting = false;
+        if (events.on_connected) events.on_connected();
+        if (ended) return;
+    }
+    if (pending_from < pending.size()) {
+        pending_from += push(std::string_view(pending).substr(pending_from));
+        if (ended) return;
+        if (pending_from < pending.size()) {
+            watch->want_write();
+            return;
+        }
+        pending.clear();
+        pending_from = 0;
+        if (events.on_flushed) events.on_flushed();
+    }
+}
+
+std::size_t tcp_stream::impl::push(std::string_view bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        auto const took = ::send(watch->fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (took > 0) {
+            sent += static_cast<std::size_t>(took);
+            continue;
+        }
+        if (took < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) break;
+        break; // The read side reports the error, with any bytes that arrived before it.
+    }
+    return sent;
+}
+
+void tcp_stream::impl::end(stream_end how)
+{
+    if (ended) return;
+    ended = true;
+    auto const keep = shared_from_this();
+    watch->close();
+    if (events.on_end) events.on_end(how);
+}
+
+tcp_stream::tcp_stream(event_loop& loop, endpoint const& peer, stream_options options, stream_events events)
+    : m_impl(std::make_shared<impl>())
+{
+    m_impl->events = std::move(events);
+    m_impl->connecting = true;
+    int const fd = detail::connect_tcp(peer);
+    if (fd >= 0) {
+        m_impl->start(loop, fd, options);
+        return;
+    }
+    loop.run_at(loop.now(), [weak = m_impl->weak_from_this()] {
+        if (auto const self = weak.lock()) self->end(stream_end::connect_failed);
+    });
+}
+
+tcp_stream::tcp_stream(event_loop& loop, int socket, stream_options options, stream_events events)
+    : m_impl(std::make_shared<impl>())
+{
+    m_impl->events = std::move(events);
+    m_impl->start(loop, socket, options);
+}
+
+tcp_stream::~tcp_stream()
+{
+    bool const was_open = !m_impl->ended;
+    m_impl->ended = true; // The hooks stay in place: one of them may be running now. None is called any more.
+    if (was_open) m_impl->watch->close();
+}
+
+void tcp_stream::send(std::string_view bytes)
+{
+    if (m_impl->ended) return;
+    std::size_t sent = 0;
+    if (!m_impl->connecting && m_impl->pending.empty()) sent = m_impl->push(bytes);
+    if (sent == bytes.size()) return;
+    m_impl->pending.append(bytes.substr(sent));
+    if (!m_impl->connecting) m_impl->watch->want_write();
+}
+
+std::size_t tcp_stream::unsent() const { return m_impl->pending.size() - m_impl->pending_from; }
+
+bool tcp_stream::open() const { return !m_impl->ended; }
+
+tcp_listener::tcp_listener(event_loop& loop, endpoint const& address, std::function<void(int)> on_accept)
+    : m_impl(std::make_shared<tcp_stream::impl>())
+{
+    int const fd = detail::listen_tcp(address);
+    m_port = detail::local_port(fd);
+    m_impl->watch->fd = fd;
+    m_impl->watch->on_readable = [fd, on_accept = std::move(on_accept)] {
+        for (int i = 0; i < accepts_per_event; ++i) {
+            int const accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (accepted < 0) return;
+            set_option(accepted, IPPROTO_TCP, TCP_NODELAY, 1);
+            on_accept(accepted);
+        }
+    };
+    if (!loop.state().watch(m_impl->watch)) {
+        throw error(error_kind::internal, "cannot watch the listening socket.", "Raise the limit of open files.");
+    }
+}
+
+tcp_listener::~tcp_listener() { m_impl->watch->close(); }
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/routing/request_state.hpp
@@ -0,0 +1,61 @@
+/** @file request_state.hpp What the dispatcher keeps of each request, shard and attempt (internal). */
+#pragma once
+
+#include <cornelspring/routing.hpp>
+
+namespace cornelspring {
+
+/** Why an attempt is sent. */
+enum class attempt_reason { first, retry, hedge };
+
+/** An attempt that has not ended. */
+struct open_attempt {
+    request_key request;                    ///< Request it serves.
+    std::size_t shard = 0;                  ///< Shard of the request.
+    service_group* group = nullptr;         ///< Service.
+    std::shared_ptr<backend_server> target; ///< Backend server.
+    latency_window* latencies = nullptr;    ///< Window of the route, for its sample.
+    time_point sent;                        ///< When it was sent.
+    bool observed = false;                  ///< Its shard is done; it runs on only to time its backend server.
+};
+
+/** Progress of one shard of a request; a plain request has one. */
+struct shard_state {
+    service_group* group = nullptr;      ///< Service.
+    std::vector<backend_id> tried;       ///< Backend servers that had an attempt.
+    std::vector<attempt_id> open;        ///< Attempts not ended.
+    int sends = 0;                       ///< Attempts begun.
+    int arrivals = 0;                    ///< Attempts that may have reached a backend server.
+    int runs = 0;                        ///< Attempts that may have run.
+    bool done = false;                   ///< A usable answer is there.
+    bool failed = false;                 ///< Given up.
+    bool waiting = false;                ///< In the group's queue for room.
+    time_point hedge_at;                 ///< When to hedge; max: never.
+    time_point retry_at;                 ///< When to try again; max: never.
+    std::optional<http_response> answer; ///< The answer, or the latest failure of a backend server.
+};
+
+/** A request not yet answered. */
+struct request_state {
+    request_key key;                              ///< Key.
+    http_request message;                         ///< As received.
+    std::string head_bytes;                       ///< Start line and forwarded headers, ready to send.
+    std::shared_ptr<serving_config const> config; ///< Version that serves it.
+    route const* via = nullptr;                   ///< Route, inside config.
+    time_point arrived;                           ///< Arrival.
+    time_point deadline;                          ///< Final answer at the latest.
+    time_point answer_by;                         ///< A sufficient answer goes out at this time.
+    time_point due = time_point::max();           ///< Entry in the dispatcher's time list.
+    latency_window* latencies = nullptr;          ///< Recent shard latencies of the route.
+    std::vector<shard_state> shards;              ///< Shards.
+    std::size_t done = 0;                         ///< Shards done.
+    std::size_t failed = 0;                       ///< Shards given up.
+    std::size_t needed = 1;                       ///< Shards that a success needs.
+    request_summary summary;                      ///< For logs.
+    /** @return whether the route gathers shards. */
+    bool gathers() const { return via->gather.has_value(); }
+    /** @return whether some attempt may have run, or still may. */
+    bool may_have_run() const;
+};
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/routing/retry_budget.cpp
@@ -0,0 +1,74 @@
+/** @file retry_budget.cpp Sliding-window allowance of extra arrivals, and merging of shard answers. */
+#include <cornelspring/routing.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+namespace {
+
+/**
+ * Share of the bound that this VM uses. The rest covers what it cannot see: VMs that restarted within the window and
+ * forgot what they had spent, and the edges of its whole-second counts.
+ */
+constexpr double used_share = 0.75;
+
+/** @return the second of the steady clock that @p now falls in. */
+std::int64_t second_of(time_point now)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+}
+
+} // namespace
+
+retry_budget::second_count& retry_budget::at(time_point now)
+{
+    auto const second = second_of(now);
+    auto& count = m_seconds[static_cast<std::size_t>(second) % m_seconds.size()];
+    if (count.second != second) count = {second, 0, 0};
+    return count;
+}
+
+void retry_budget::on_request(time_point now) { ++at(now).requests; }
+
+double retry_budget::left(limits const& bound, std::size_t vms, time_point now)
+{
+    auto const second = second_of(now);
+    double requests = 0;
+    double extras = 0;
+    for (auto const& count : m_seconds) {
+        if (count.second < 0 || count.second > second) continue;
+        // Extras of a whole further second may still fall into the same window as the next one.
+        if (second - count.second <= bound.window.count()) extras += count.extras;
+        if (second - count.second < bound.window.count()) requests += count.requests;
+    }
+    double const share = bound.slack / static_cast<double>(std::max<std::size_t>(vms, 1));
+    return used_share * (bound.ratio * requests + share) - extras;
+}
+
+bool retry_budget::take(limits const& bound, std::size_t vms, time_point now)
+{
+    if (left(bound, vms, now) < 1.0) return false;
+    ++at(now).extras;
+    return true;
+}
+
+std::string merge_records(std::vector<std::string_view> const& bodies, std::size_t top_k)
+{
+    std::vector<std::string_view> records;
+    for (auto const body : bodies) {
+        for (std::size_t at = 0; at + record_size <= body.size(); at += record_size) {
+            records.push_back(body.substr(at, record_size));
+        }
+    }
+    auto const kept = std::min(top_k, records.size());
+    // std::string_view compares bytes as unsigned char.
+    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(kept), records.end(),
+                      std::greater<>());
+    std::string merged;
+    merged.reserve(kept * record_size);
+    for (std::size_t i = 0; i < kept; ++i)
+        merged.append(records[i]);
+    return merged;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/routing/serving_config.cpp
@@ -0,0 +1,56 @@
+/** @file serving_config.cpp Routes by host and longest prefix; the configuration in force. */
+#include <cornelspring/routing.hpp>
+
+namespace cornelspring {
+namespace {
+
+/** Connections assumed of a service that the configuration does not describe. */
+constexpr int default_max_connections = 16;
+
+/** @return the key of @p prefix at @p host. */
+std::string location_key(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + prefix.size() + 1);
+    key.append(host).append("\n").append(prefix);
+    return key;
+}
+
+} // namespace
+
+serving_config::serving_config(config_version version, std::vector<route> routes,
+                               std::map<service_name, service_spec_limits> services, caller_limits limits)
+    : m_version(version), m_routes(std::move(routes)), m_services(std::move(services)), m_limits(limits)
+{
+    for (std::size_t i = 0; i < m_routes.size(); ++i) {
+        m_by_location.emplace(location_key(m_routes[i].host, m_routes[i].prefix), i);
+    }
+}
+
+int serving_config::max_connections(service_name const& service) const
+{
+    auto const found = m_services.find(service);
+    return found == m_services.end() ? default_max_connections : found->second.max_connections;
+}
+
+route const* serving_config::match(std::string_view host, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    // Prefixes end with a slash, so each slash of the path ends one candidate, the longest first.
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/', slash - 1)) {
+        auto const found = m_by_location.find(location_key(host, path.substr(0, slash + 1)));
+        if (found != m_by_location.end()) return &m_routes[found->second];
+        if (slash == 0) break;
+    }
+    auto const port = host.rfind(':');
+    return port == std::string_view::npos ? nullptr : match(host.substr(0, port), path);
+}
+
+bool config_holder::offer(std::shared_ptr<serving_config const> next)
+{
+    if (m_current && next->version() <= m_current->version()) return false;
+    m_current = std::move(next);
+    return true;
+}
+
+} // namespace cornelspring
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -1,5 +1,5 @@
 /** @file h2_client.cpp HTTP/2 (h2c) client: one thread owns a connection per peer, the streams and the timers. */
-#include "socket.hpp"
+#include "../net/socket.hpp"
 
 #include <cornelspring/transport.hpp>
 
--- a/src/transport/h2_server.cpp
+++ b/src/transport/h2_server.cpp
@@ -1,5 +1,5 @@
 /** @file h2_server.cpp HTTP/2 (h2c) server: one thread owns the listener, the connections and the streams. */
-#include "socket.hpp"
+#include "../net/socket.hpp"
 
 #include <cornelspring/transport.hpp>
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,5 @@
 /** @file http_client.cpp HTTP/1.1 client on libwebsockets: one service thread, one connection per request. */
-#include "socket.hpp"
+#include "../net/socket.hpp"
 
 #include <cornelspring/transport.hpp>
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,5 @@
 /** @file http_server.cpp HTTP/1.1 server for callers and operators on libwebsockets. */
-#include "socket.hpp"
+#include "../net/socket.hpp"
 
 #include <cornelspring/transport.hpp>
 
@@ -38,26 +38,6 @@
 
 } // namespace
 
-namespace detail {
-
-/** Routes libwebsockets' own log lines into log4cplus. */
-void emit_lws_log(int level, char const* line)
-{
-    auto logger = get_logger("transport.lws");
-    std::string text(line);
-    while (!text.empty() && (text.back() == '\n' || text.back() == '\r'))
-        text.pop_back();
-    if (level == LLL_ERR) {
-        LOG4CPLUS_ERROR(logger, text);
-    } else {
-        LOG4CPLUS_WARN(logger, text);
-    }
-}
-
-void route_lws_logs() { lws_set_log_level(LLL_ERR | LLL_WARN, emit_lws_log); }
-
-} // namespace detail
-
 /** State of the server task; the service thread owns all but the reply queue. */
 struct http_server::impl {
     server_options options;              ///< Address and limits.
