Gateways follow each other; the active ones; a stop that serves to its end; complete re-reads

Change: state_mirror, feed_selector, state_feed, registration: the first gateway of each failure domain reads the store, the others follow it; a follower of a follower is refused; full reads go to the store; followers get the differences of a re-read. choose_active bounds the gateways callers are sent to by the backend connections.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -186,16 +186,37 @@
 
 /** A gateway VM as it registers itself. */
 struct gateway_member {
-    endpoint address;   ///< Where callers connect.
-    endpoint peer;      ///< Where other gateways ask for state.
-    domain_name domain; ///< Failure domain.
-    region_name region; ///< Region.
+    endpoint address;      ///< Where callers connect.
+    endpoint peer;         ///< Where other gateways ask for state.
+    domain_name domain;    ///< Failure domain.
+    region_name region;    ///< Region.
+    double capacity = 1;   ///< Processor cores it may use.
+    bool stopping = false; ///< It still serves, but will be gone in seconds.
 };
+/** Gateways by store key. */
+using member_map = std::map<std::string, gateway_member>;
 /** @return a member as the value of its store key. @param member member. */
 std::string encode_member(gateway_member const& member);
 /** @return the member in @p value. @param value store value. @throw error bad_request when malformed. */
 gateway_member decode_member(std::string const& value);
 
+/**
+ * Chooses the gateways that callers are sent to. More gateways than backend servers have connections for would only
+ * open and close connections; and a gateway that carries more requests learns sooner which backend server is slow.
+ * The failure domains get equal numbers, the largest VMs first. Stopping ones count only when no other is left.
+ * @param members live gateways. @param most most of them.
+ * @return keys of the chosen ones.
+ */
+std::set<std::string> choose_active(member_map const& members, std::size_t most);
+/**
+ * Chooses the addresses for one caller: active gateways of its failure domain, else of its region, else all.
+ * @param members live gateways. @param active keys of the active ones. @param region the caller's region.
+ * @param domain its failure domain. @param random order of the answer.
+ * @return addresses, in random order.
+ */
+std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
+                                       region_name const& region, domain_name const& domain, std::mt19937_64& random);
+
 /** Settings of a gateway process. */
 struct gateway_settings {
     std::string name;                        ///< Name of this VM.
@@ -209,7 +230,8 @@
     std::string ready_path;                  ///< Path of the readiness question.
     std::string addresses_path;              ///< Path of the address question.
     std::string metrics_path = "/metrics";   ///< Path of the metrics.
-    milliseconds lease_ttl{4000};            ///< Time to live of this VM's registration.
+    double capacity = 1;                     ///< Processor cores this VM may use.
+    milliseconds lease_ttl{6000};            ///< Time to live of this VM's registration.
     milliseconds stop_limit{5500};           ///< A stop ends after this, whatever is open.
     milliseconds config_limit{3000};         ///< A configuration must be in force within this.
     int addresses_ttl_s = 2;                 ///< How long callers keep an address answer.
@@ -221,40 +243,131 @@
     std::function<std::pair<region_name, domain_name>(std::string const& target)> decode_place;
 };
 
-/** What the store link reports. */
-struct store_events {
-    std::function<void(store_batch const& batch, bool complete)> on_batch; ///< Items (complete: all there are).
-    std::function<void()> on_lost;                                         ///< Calls fail.
-    std::function<void(milliseconds outage)> on_back;                      ///< Calls succeed again.
+// ---- State of the platform's store ----
+
+/** A copy of the store's items, with the latest changes for those who follow this VM. */
+class state_mirror {
+public:
+    /** Replaces everything. @param items all items. @param as_of revision. @return keys that are gone. */
+    std::vector<std::string> replace(std::vector<store_item> const& items, std::int64_t as_of);
+    /** Takes in changes. @param changes changes, oldest first. @param as_of revision after them. */
+    void apply(std::vector<store_item> const& changes, std::int64_t as_of);
+    /** @return the changes after @p revision, or nothing when some of them are no longer kept. @param revision from. */
+    std::optional<std::vector<store_item>> changes_after(std::int64_t revision) const;
+    /** @return all items. */
+    std::map<std::string, store_item> const& items() const { return m_items; }
+    /** @return revision of the copy. */
+    std::int64_t as_of() const { return m_as_of; }
+
+private:
+    std::map<std::string, store_item> m_items; ///< By key.
+    std::deque<store_item> m_changes;          ///< Latest changes, oldest first.
+    std::int64_t m_complete_from = 0;          ///< All changes after this revision are in m_changes.
+    std::int64_t m_as_of = 0;                  ///< Revision.
+};
+
+/** Where a gateway learns the store's state from. */
+struct feed_source {
+    std::string peer_key; ///< Store key of the gateway followed; empty: the store itself.
+    endpoint address;     ///< Its address.
+    /** @return whether the store itself is read. */
+    bool is_store() const { return peer_key.empty(); }
+    /** Sources are equal when they name the same process. */
+    bool operator==(feed_source const&) const = default;
 };
 
 /**
- * Keeps a copy of the store current: one full read, then one waiting watch over all keys; and keeps this VM's
- * registration alive by a lease.
+ * Chooses where to learn the store's state from, so that the calls to the store do not grow with the number of VMs:
+ * in each failure domain the first gateway by key reads the store and the others follow it. One that fails is left
+ * out for a while.
  */
-class store_link {
+class feed_selector {
 public:
-    /** @param loop event loop. @param store address. @param codec translation. @param events receiver. */
-    store_link(event_loop& loop, endpoint store, store_codec const& codec, store_events events);
-    ~store_link();
+    /** @param store address of the store. @param self key of this VM. @param domain its failure domain.
+     *  @param seeds gateways to ask when the store cannot be reached and no gateway is known. */
+    feed_selector(endpoint store, std::string self, domain_name domain, std::vector<endpoint> seeds);
+    /** @return the source to watch. @param members live gateways. @param now present time. */
+    feed_source choose(member_map const& members, time_point now) const;
+    /** @return the source of a full read: the store when it can be reached, since many full reads at once overload
+     *  the link of a small VM. @param members live gateways. @param now present time. */
+    feed_source choose_for_read(member_map const& members, time_point now) const;
+    /** Notes that a source failed. @param source source. @param now present time. */
+    void on_failed(feed_source const& source, time_point now);
+    /** Notes that a source answers. @param source source. */
+    void on_answered(feed_source const& source) { m_avoid_until.erase(source.peer_key); }
+
+private:
+    /** @return whether the source @p key failed lately. */
+    bool avoided(std::string const& key, time_point now) const;
+    /** @return how many gateways failed lately. */
+    std::size_t avoided_peers(time_point now) const;
+    endpoint m_store;                                ///< Store.
+    std::string m_self;                              ///< This VM.
+    domain_name m_domain;                            ///< Its failure domain.
+    std::vector<endpoint> m_seeds;                   ///< Asked when nothing else is known.
+    std::map<std::string, time_point> m_avoid_until; ///< Failed sources; the store has an empty key.
+};
+
+/** What a state feed reports. */
+struct feed_events {
+    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_snapshot; ///< Everything there is.
+    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_changes;  ///< Changes.
+    std::function<void(feed_source const& source, char const* reason)> on_failed; ///< A call failed; choose again.
+    std::function<void(feed_source const& source)> on_answered;                   ///< A call succeeded.
+    std::function<feed_source()> choose;                                          ///< Source of the next watch.
+    std::function<feed_source()> choose_for_read;                                 ///< Source of a full read.
+};
+
+/** Keeps a copy of the store current: a full read, then one waiting watch over all keys, from whatever source. */
+class state_feed {
+public:
+    /** @param loop event loop. @param store store calls. @param peer calls to another gateway. @param events hooks. */
+    state_feed(event_loop& loop, store_codec const& store, store_codec const& peer, feed_events events);
+    ~state_feed();
     /** Starts reading. */
     void start();
-    /** Registers this VM under a lease. @param key key. @param value value. @param ttl time to live. */
-    void register_as(std::string key, std::string value, milliseconds ttl);
-    /** The registration was removed by someone else: register anew. */
-    void registration_lost();
-    /** Ends the registration. */
-    void unregister();
-    /** @return whether the first full read is complete. */
+    /** @return whether a full read is complete. */
     bool synced() const;
 
     /** Opaque state, defined in the source file. */
     struct impl;
 
 private:
-    std::unique_ptr<impl> m_impl; ///< Connections and timers.
+    std::unique_ptr<impl> m_impl; ///< Connection and timers.
 };
 
+/** Keeps one key of this VM in the store under a lease. */
+class registration {
+public:
+    /** @param loop event loop. @param store address. @param codec store calls. @param ttl time to live of the lease.
+     *  @param on_call reports calls: whether they succeeded. */
+    registration(event_loop& loop, endpoint store, store_codec const& codec, milliseconds ttl,
+                 std::function<void(bool ok)> on_call);
+    ~registration();
+    /** Writes @p value at @p key, again whenever it is lost. @param key key. @param value value. */
+    void set(std::string key, std::string value);
+    /** Someone else removed the key: write it again under a new lease. */
+    void on_removed();
+    /** Ends the lease, which removes the key. */
+    void end();
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Connection and timers.
+};
+
+/** @return the calls of one gateway to another, which mirror those to the store. */
+store_codec make_peer_codec();
+/** Paths by which gateways ask each other. */
+namespace peer_paths {
+inline constexpr char const* state = "/v1/state";     ///< Everything.
+inline constexpr char const* changes = "/v1/changes"; ///< Changes after a revision; waits for some.
+} // namespace peer_paths
+/** @return a batch as the body that make_peer_codec() reads. @param items items or changes. @param as_of revision. */
+std::string encode_peer_batch(std::vector<store_item> const& items, std::int64_t as_of);
+
 /** The gateway process. */
 class gateway {
 public:
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -94,6 +94,8 @@
     caller_limits const& limits() const { return m_limits; }
     /** @return the connection limit of @p service; a default when it is not named. @param service service. */
     int max_connections(service_name const& service) const;
+    /** @return the lowest connection limit among the services over which routes gather; 0 when none does. */
+    int fewest_connections() const { return m_fewest_connections; }
     /**
      * @return the route of @p host with the longest prefix that begins @p path, or null.
      * @param host value of the Host header. @param path request target; a query is ignored.
@@ -105,6 +107,7 @@
     std::vector<route> m_routes;                                ///< Routes.
     std::map<service_name, service_spec_limits> m_services;     ///< Limits by service.
     caller_limits m_limits;                                     ///< For callers.
+    int m_fewest_connections = 0;                               ///< See fewest_connections().
     std::unordered_map<std::string, std::size_t> m_by_location; ///< Route index by host and prefix.
 };
 
@@ -265,10 +268,6 @@
     std::vector<backend_id> expire(time_point now);
     /** @return ids of all entries that are not gone. */
     std::vector<backend_id> ids() const;
-    /** @return how many backend servers each region holds. */
-    std::map<region_name, std::size_t> backends_by_region() const;
-    /** @return how many regions there are. */
-    std::size_t known_regions() const;
     /** @return the group of @p service, made when absent; the reference stays valid. @param service service. */
     service_group& group(service_name const& service);
     /** @return the backend server @p id, or null. @param id id. */
--- a/src/gateway/address_answers.cpp
+++ b/src/gateway/address_answers.cpp
@@ -1,5 +1,5 @@
-/** @file address_answers.cpp Which gateways a caller is told to use; the members' store values. */
-#include "address_answers.hpp"
+/** @file address_answers.cpp Which gateways callers are sent to; the members' store values. */
+#include <cornelspring/gateway.hpp>
 
 #include <algorithm>
 
@@ -8,41 +8,59 @@
 namespace cornelspring {
 namespace {
 
-/** A region counts as holding the backend servers when it has at least this share of an even spread. */
-constexpr double region_share = 0.5;
-/** Fewer gateways than this in a region do not make up an answer: one may just have failed. */
+/** Most addresses in one answer. */
+constexpr std::size_t max_addresses = 64;
+/** Fewer addresses than this do not make up an answer: one of them may just have failed. */
 constexpr std::size_t fewest_addresses = 2;
 
-/** @return addresses of the members whose region @p wanted accepts. */
-std::vector<endpoint> members_in(std::map<std::string, gateway_member> const& members,
-                                 std::function<bool(region_name const&)> const& wanted)
+/** @return addresses of the active members that @p wanted accepts. */
+std::vector<endpoint> active_members(member_map const& members, std::set<std::string> const& active,
+                                     std::function<bool(gateway_member const&)> const& wanted)
 {
     std::vector<endpoint> found;
     for (auto const& [key, member] : members) {
-        if (wanted(member.region)) found.push_back(member.address);
+        if (active.contains(key) && wanted(member)) found.push_back(member.address);
     }
     return found;
 }
 
 } // namespace
 
-std::vector<endpoint> choose_addresses(std::map<std::string, gateway_member> const& members, region_name const& region,
-                                       domain_name const&, backend_registry const& registry, std::mt19937_64& random)
+std::set<std::string> choose_active(member_map const& members, std::size_t most)
 {
-    auto const by_region = registry.backends_by_region();
-    std::size_t total = 0;
-    for (auto const& [name, count] : by_region)
-        total += count;
-    auto const holds = [&](region_name const& name) {
-        auto const found = by_region.find(name);
-        if (found == by_region.end()) return false;
-        double const even = static_cast<double>(total) / static_cast<double>(registry.known_regions());
-        return static_cast<double>(found->second) >= region_share * even;
-    };
-    std::vector<endpoint> chosen;
-    if (holds(region)) chosen = members_in(members, [&](region_name const& each) { return each == region; });
-    if (chosen.size() < fewest_addresses) chosen = members_in(members, holds);
-    if (chosen.size() < fewest_addresses) chosen = members_in(members, [](region_name const&) { return true; });
+    std::map<domain_name, std::vector<member_map::const_iterator>> by_domain;
+    bool const any_staying =
+        std::any_of(members.begin(), members.end(), [](auto const& m) { return !m.second.stopping; });
+    for (auto each = members.begin(); each != members.end(); ++each) {
+        if (any_staying && each->second.stopping) continue;
+        by_domain[each->second.domain].push_back(each);
+    }
+    std::size_t largest = 0;
+    for (auto& [domain, list] : by_domain) {
+        std::stable_sort(list.begin(), list.end(),
+                         [](auto left, auto right) { return left->second.capacity > right->second.capacity; });
+        largest = std::max(largest, list.size());
+    }
+    std::set<std::string> active;
+    for (std::size_t rank = 0; rank < largest; ++rank) {
+        for (auto const& [domain, list] : by_domain) {
+            if (active.size() >= std::max(most, by_domain.size())) return active;
+            if (rank < list.size()) active.insert(list[rank]->first);
+        }
+    }
+    return active;
+}
+
+std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
+                                       region_name const& region, domain_name const& domain, std::mt19937_64& random)
+{
+    auto chosen = active_members(members, active, [&](gateway_member const& each) { return each.domain == domain; });
+    if (chosen.size() < fewest_addresses) {
+        chosen = active_members(members, active, [&](gateway_member const& each) { return each.region == region; });
+    }
+    if (chosen.size() < fewest_addresses) {
+        chosen = active_members(members, active, [](gateway_member const&) { return true; });
+    }
     std::shuffle(chosen.begin(), chosen.end(), random);
     chosen.resize(std::min(chosen.size(), max_addresses));
     return chosen;
@@ -50,10 +68,9 @@
 
 std::string encode_member(gateway_member const& member)
 {
-    return nlohmann::json{{"address", member.address.to_string()},
-                          {"peer", member.peer.to_string()},
-                          {"domain", member.domain.value()},
-                          {"region", member.region.value()}}
+    return nlohmann::json{{"address", member.address.to_string()}, {"peer", member.peer.to_string()},
+                          {"domain", member.domain.value()},       {"region", member.region.value()},
+                          {"capacity", member.capacity},           {"stopping", member.stopping}}
         .dump();
 }
 
@@ -64,7 +81,9 @@
         return {parse_endpoint(fields.at("address").get<std::string>()),
                 parse_endpoint(fields.at("peer").get<std::string>()),
                 domain_name(fields.at("domain").get<std::string>()),
-                region_name(fields.at("region").get<std::string>())};
+                region_name(fields.at("region").get<std::string>()),
+                fields.at("capacity").get<double>(),
+                fields.at("stopping").get<bool>()};
     } catch (nlohmann::json::exception const& failure) {
         throw error(error_kind::bad_request, std::string("malformed gateway registration: ") + failure.what(),
                     "Gateways of one fleet must run the same release.");
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -4,19 +4,18 @@
 namespace cornelspring {
 namespace {
 
-/** Lines of frequent kinds written in one second; beyond it they are counted and left out. */
-constexpr int lines_per_second = 100;
+/** Lines about requests written in one second; beyond it they are counted and left out. */
+constexpr int request_lines = 100;
+/** The same for lines about the source of the store's state. */
+constexpr int source_lines = 20;
 
 } // namespace
 
-bool gateway_log::allowed()
+bool gateway_log::allowed(quota& kind, int per_second)
 {
     auto const second = std::chrono::duration_cast<std::chrono::seconds>(m_loop.now().time_since_epoch()).count();
-    if (second != m_second) {
-        m_second = second;
-        m_lines = 0;
-    }
-    if (++m_lines <= lines_per_second) return true;
+    if (second != kind.second) kind = {second, 0};
+    if (++kind.lines <= per_second) return true;
     ++m_left_out;
     return false;
 }
@@ -28,7 +27,7 @@
 
 void gateway_log::on_request(request_summary const& summary)
 {
-    if (!allowed()) return;
+    if (!allowed(m_requests, request_lines)) return;
     nlohmann::json line{{"event", "request"},
                         {"id", summary.caller_id},
                         {"route", summary.route_name},
@@ -51,7 +50,7 @@
 
 void gateway_log::on_refused(int status, char const* reason)
 {
-    if (allowed()) write({{"event", "refused"}, {"status", status}, {"reason", reason}});
+    if (allowed(m_requests, request_lines)) write({{"event", "refused"}, {"status", status}, {"reason", reason}});
 }
 
 void gateway_log::dependency(char const* name, char const* change, milliseconds outage)
@@ -59,6 +58,15 @@
     write({{"event", "dependency"}, {"name", name}, {"change", change}, {"outage_ms", outage.count()}});
 }
 
+void gateway_log::source(feed_source const& source, char const* change, char const* reason)
+{
+    if (!allowed(m_sources, source_lines)) return;
+    write({{"event", "state_source"},
+           {"source", source.is_store() ? "store" : source.peer_key},
+           {"change", change},
+           {"reason", reason}});
+}
+
 void gateway_log::bad_item(std::string const& key, std::int64_t revision, char const* reason)
 {
     write({{"event", "bad_item"}, {"key", key}, {"revision", revision}, {"reason", reason}});
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -16,6 +16,9 @@
     void on_refused(int status, char const* reason);
     /** A dependency was lost or regained. @param name which. @param change lost or regained. @param outage length. */
     void dependency(char const* name, char const* change, milliseconds outage);
+    /** The source of the store's state changed or failed. @param source which. @param change used or failed.
+     *  @param reason why. */
+    void source(feed_source const& source, char const* change, char const* reason);
     /** A store item cannot be read. @param key its key. @param revision its revision. @param reason why. */
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
@@ -30,13 +33,19 @@
 private:
     /** Writes one line. @param fields its fields, beginning with "event". */
     void write(nlohmann::json const& fields);
-    /** @return whether a line of a frequent kind may be written now. */
-    bool allowed();
+    /** Counts of one kind of line in the present second. */
+    struct quota {
+        std::int64_t second = 0; ///< Present second.
+        int lines = 0;           ///< Lines written in it.
+    };
+    /** @return whether a line may be written now. @param kind its kind's counts. @param per_second most lines. */
+    bool allowed(quota& kind, int per_second);
+
+    event_loop& m_loop;         ///< Time.
+    log4cplus::Logger m_logger; ///< Logger.
+    quota m_requests;           ///< Lines about requests.
+    quota m_sources;            ///< Lines about the source of the store's state.
 
-    event_loop& m_loop;           ///< Time.
-    log4cplus::Logger m_logger;   ///< Logger.
-    std::int64_t m_second = 0;    ///< Present second.
-    int m_lines = 0;              ///< Frequent lines written in it.
     std::uint64_t m_left_out = 0; ///< Lines left out since the last one written.
 };
 
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -155,24 +155,6 @@
     return all;
 }
 
-std::map<region_name, std::size_t> backend_registry::backends_by_region() const
-{
-    std::map<region_name, std::size_t> counts;
-    for (auto const& [id, server] : m_backends) {
-        auto const found = m_place.regions.find(server->entry.domain);
-        if (found != m_place.regions.end()) ++counts[found->second];
-    }
-    return counts;
-}
-
-std::size_t backend_registry::known_regions() const
-{
-    std::set<region_name> regions;
-    for (auto const& [domain, region] : m_place.regions)
-        regions.insert(region);
-    return std::max<std::size_t>(regions.size(), 1);
-}
-
 service_group& backend_registry::group(service_name const& service)
 {
     auto& made = m_groups[service.value()];
--- a/src/routing/serving_config.cpp
+++ b/src/routing/serving_config.cpp
@@ -1,6 +1,8 @@
 /** @file serving_config.cpp Routes by host and longest prefix; the configuration in force. */
 #include <cornelspring/routing.hpp>
 
+#include <algorithm>
+
 namespace cornelspring {
 namespace {
 
@@ -24,6 +26,11 @@
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i) {
         m_by_location.emplace(location_key(m_routes[i].host, m_routes[i].prefix), i);
+        if (!m_routes[i].gather) continue;
+        for (auto const& shard : m_routes[i].gather->shards) {
+            int const limit = max_connections(shard);
+            m_fewest_connections = m_fewest_connections == 0 ? limit : std::min(m_fewest_connections, limit);
+        }
     }
 }
 
