--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -122,8 +122,9 @@
     /** @param loop event loop. @param hooks service. */
     caller_server(event_loop& loop, hooks hooks);
     ~caller_server();
-    /** Listens on @p address. @param address address. @param local whether only the system's own calls come there. */
-    void listen(endpoint const& address, bool local);
+    /** Listens on @p address. @param address address. @param local whether only the system's own calls come there.
+     *  @return the bound port. */
+    std::uint16_t listen(endpoint const& address, bool local);
     /** Answers a request; does nothing when its caller has left. @param key request. @param response answer. */
     void answer(request_key key, http_response response);
     /** From now on each answer closes its connection. */
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -247,11 +247,12 @@
 
 caller_server::~caller_server() = default;
 
-void caller_server::listen(endpoint const& address, bool local)
+std::uint16_t caller_server::listen(endpoint const& address, bool local)
 {
     auto* state = m_impl.get();
     m_impl->listeners.push_back(std::make_unique<tcp_listener>(
         m_impl->loop, address, [state, local](int socket) { state->accept(socket, local); }));
+    return m_impl->listeners.back()->port();
 }
 
 void caller_server::answer(request_key key, http_response response) { m_impl->answer(key, std::move(response)); }
--- /dev/null
+++ b/tests/gateway_fixture.cpp
@@ -0,0 +1,215 @@
+/** @file gateway_fixture.cpp Gateways, the platform's store and backend servers as processes on loopback. */
+#include "gateway_fixture.hpp"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+namespace cornelspring::testing {
+namespace {
+
+using nlohmann::json;
+
+/** Longest wait for bytes. */
+constexpr int receive_limit_s = 5;
+
+} // namespace
+
+raw_connection::raw_connection(endpoint const& peer) : m_fd(socket(AF_INET, SOCK_STREAM, 0))
+{
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(peer.port);
+    inet_pton(AF_INET, peer.host.c_str(), &to.sin_addr);
+    timeval limit{receive_limit_s, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    if (connect(m_fd, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+        close(m_fd);
+        m_fd = -1;
+    }
+}
+
+raw_connection::~raw_connection()
+{
+    if (m_fd >= 0) close(m_fd);
+}
+
+void raw_connection::send(std::string const& bytes)
+{
+    if (m_fd >= 0) [[maybe_unused]]
+        auto const sent = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+std::optional<http_response> raw_connection::receive()
+{
+    message_reader reader(message_reader::kind::response);
+    char buffer[65536];
+    while (true) {
+        m_extra.erase(0, reader.feed(m_extra));
+        if (reader.state() == parse_state::complete) return reader.response();
+        if (reader.state() != parse_state::incomplete || m_fd < 0) return std::nullopt;
+        auto const got = recv(m_fd, buffer, sizeof buffer, 0);
+        if (got <= 0) return std::nullopt;
+        m_extra.append(buffer, static_cast<std::size_t>(got));
+    }
+}
+
+bool raw_connection::closed_by_peer()
+{
+    timeval limit{2, 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    char byte = 0;
+    return m_fd < 0 || recv(m_fd, &byte, 1, 0) == 0;
+}
+
+bool within_ten_seconds(std::function<bool()> const& holds)
+{
+    auto const until = clock::now() + std::chrono::seconds(10);
+    while (clock::now() < until) {
+        if (holds()) return true;
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+}
+
+gateway_fleet::gateway_fleet()
+{
+    m_store = processes.start("store", "cornel-stand-in", {"store"});
+    m_backends = processes.start(
+        "backends", "cornel-stand-in",
+        {"backends", "--set", R"(services=["g0","g1","g2","g3","s"])", "--set", R"(domains=["d1","d2"])"});
+    auto const all = entries();
+    for (auto const& [id, entry] : all.items())
+        register_backend(id, entry);
+    configure(1);
+}
+
+json gateway_fleet::post(endpoint const& to, std::string const& path, json const& body)
+{
+    raw_connection connection(to);
+    http_request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = {{"host", "stand-in"}};
+    request.body = body.dump();
+    connection.send(serialize(request));
+    auto const response = connection.receive();
+    return response && !response->body.empty() ? json::parse(response->body) : json();
+}
+
+json gateway_fleet::store(std::string const& path, json const& body)
+{
+    return post({"127.0.0.1", m_store}, "/stand-in/" + path, body);
+}
+
+void gateway_fleet::behave(json const& what) { post({"127.0.0.1", m_backends}, "/behave", what); }
+json gateway_fleet::journal() { return post({"127.0.0.1", m_backends}, "/journal", json::object()); }
+json gateway_fleet::entries() { return post({"127.0.0.1", m_backends}, "/entries", json::object()); }
+
+void gateway_fleet::register_backend(std::string const& id, json const& entry)
+{
+    store("put", {{"key", "servers/" + id}, {"value", entry}});
+}
+
+void gateway_fleet::configure(int version, std::vector<std::string> const& shards)
+{
+    auto const route = [](char const* prefix, char const* kind) {
+        return json{{"name", prefix},     {"hostname", "h.example"}, {"prefix", prefix}, {"route_type", kind},
+                    {"timeout_ms", 2000}, {"goal_ms", 400},          {"priority", 1},    {"attempts", 2}};
+    };
+    auto gather = route("/q/", "idempotent");
+    gather["gather"] = shards;
+    gather["top_k"] = 4;
+    gather["min_coverage"] = 0.75;
+    auto read = route("/r/", "idempotent");
+    read["service"] = "s";
+    auto write = route("/w/", "non_idempotent");
+    write["service"] = "s";
+    json services = json::array();
+    for (char const* name : {"g0", "g1", "g2", "g3", "s"}) {
+        services.push_back(
+            {{"name", name}, {"health_path", "/health"}, {"max_conns", 40}, {"protocol", "h1"}, {"tls", false}});
+    }
+    json const config{{"version", version},
+                      {"routes", {gather, read, write}},
+                      {"services", services},
+                      {"limits",
+                       {{"max_header_bytes", 4096},
+                        {"max_body_bytes", 10000},
+                        {"header_timeout_ms", 700},
+                        {"idle_timeout_ms", 3000}}}};
+    store("put", {{"key", "op/config"}, {"value", config}});
+}
+
+endpoint gateway_fleet::address(int number, char const* what)
+{
+    std::map<std::string, std::uint16_t> const ports{
+        {"frontend", 18104}, {"ready", 18108}, {"control_plane", 18106}, {"directory", 18100}};
+    // Offset by process id: several tests run at once.
+    return {"127." + std::to_string(getpid() / 250 % 250 + 1) + "." + std::to_string(getpid() % 250 + 1) + "." +
+                std::to_string(number),
+            ports.at(what)};
+}
+
+void gateway_fleet::start_gateway(int number, std::string const& domain, bool wait)
+{
+    json addresses;
+    for (char const* what : {"frontend", "ready", "control_plane", "directory"})
+        addresses[what] = address(number, what).to_string();
+    json const settings{{"node_name", "gw-" + std::to_string(number)},
+                        {"ip", address(number, "ready").host},
+                        {"zone", domain},
+                        {"region", "r-" + domain},
+                        {"zones", {{"d1", "r-d1"}, {"d2", "r-d2"}}},
+                        {"bind_addrs", addresses},
+                        {"seeds", {address(1, "control_plane").to_string(), address(2, "control_plane").to_string()}},
+                        {"limits", {{"cpu_share", 1.0}, {"cores", 1}}},
+                        {"platform", {{"address", "127.0.0.1:" + std::to_string(m_store)}}},
+                        {"bounds",
+                         {{"retry_ratio", 0.2},
+                          {"retry_slack", 200},
+                          {"retry_window_s", 10},
+                          {"grace_s", 4},
+                          {"drain_ms", 3000},
+                          {"config_apply_ms", 3000},
+                          {"ttl_max_s", 5}}}};
+    auto const name = "gw-" + std::to_string(number);
+    write_file_atomic(processes.path(name + ".json"), settings.dump());
+    processes.spawn(name, "cornel-gateway", {"--set", "platform_settings=\"" + processes.path(name + ".json") + "\""});
+    if (wait) await_ready(number);
+}
+
+void gateway_fleet::await_ready(int number, int status)
+{
+    bool const came =
+        within_ten_seconds([&] { return get(address(number, "ready"), "/cornelspring/ready").status == status; });
+    if (!came) throw error(error_kind::unavailable, "gateway is not ready in time.", "Read its log.");
+}
+
+http_response gateway_fleet::get(endpoint const& to, std::string const& path)
+{
+    raw_connection connection(to);
+    connection.send("GET " + path + " HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    http_response none;
+    none.status = 0;
+    return connection.receive().value_or(none);
+}
+
+http_response gateway_fleet::ask(int number, std::string const& path, std::string const& id, std::string const& method,
+                                 std::string const& body)
+{
+    raw_connection connection(address(number, "frontend"));
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.headers = {{"Host", "h.example"}, {"Request-Id", id}, {"Deadline", "1500"}};
+    request.body = body;
+    connection.send(serialize(request));
+    http_response none;
+    none.status = 0;
+    return connection.receive().value_or(none);
+}
+
+} // namespace cornelspring::testing
--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -58,23 +58,30 @@
     if (std::getenv("CORNEL_KEEP_LOGS") == nullptr) std::filesystem::remove_all(m_folder);
 }
 
-std::uint16_t process_group::start(std::string const& name, std::string const& binary,
-                                   std::vector<std::string> const& args)
+void process_group::spawn(std::string const& name, std::string const& binary, std::vector<std::string> const& args)
 {
     std::string const program = std::string(CORNEL_BIN_DIR) + "/" + binary;
-    std::string const ready = path(name + ".port");
-    std::vector<std::string> all = args;
-    all.push_back("--set");
-    all.push_back("ready_file=\"" + ready + "\"");
+    std::string const log = path(name + ".log");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 2, path(name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    auto argv = make_argv(program, all);
+    posix_spawn_file_actions_addopen(&actions, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 2, 1);
+    auto argv = make_argv(program, args);
     pid_t pid = 0;
     int const rc = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (rc != 0) throw error(error_kind::unavailable, "cannot start " + program + ".", "Build the project first.");
     m_children[name] = pid;
+}
+
+std::uint16_t process_group::start(std::string const& name, std::string const& binary,
+                                   std::vector<std::string> const& args)
+{
+    std::string const ready = path(name + ".port");
+    std::vector<std::string> all = args;
+    all.push_back("--set");
+    all.push_back("ready_file=\"" + ready + "\"");
+    spawn(name, binary, all);
     auto const until = std::chrono::steady_clock::now() + ready_wait;
     while (std::chrono::steady_clock::now() < until) {
         try {
--- a/tests/process_fixture.hpp
+++ b/tests/process_fixture.hpp
@@ -31,6 +31,11 @@
      * @param args further arguments. @return the bound port. @throw error unavailable when it never got ready.
      */
     std::uint16_t start(std::string const& name, std::string const& binary, std::vector<std::string> const& args);
+    /**
+     * Starts @p binary without waiting for it; its output goes to its log.
+     * @param name name of the child. @param binary name. @param args arguments.
+     */
+    void spawn(std::string const& name, std::string const& binary, std::vector<std::string> const& args);
     /**
      * Runs @p binary to completion. @param binary name. @param args arguments. @param output receives stdout.
      * @return the exit status.
--- /dev/null
+++ b/tests/stand_in/shard_server.cpp
@@ -0,0 +1,120 @@
+/** @file shard_server.cpp Stand-in for backend servers on the users' platform. */
+#include "shard_server.hpp"
+
+namespace cornelspring::testing {
+
+shard_server::shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal)
+    : m_loop(loop), m_id(std::move(id)), m_service(std::move(service)), m_journal(journal)
+{
+    m_listener = std::make_unique<tcp_listener>(loop, endpoint{"127.0.0.1", 0}, [this](int socket) {
+        auto const number = ++m_last;
+        auto& made = m_connections[number];
+        made.reader = std::make_unique<message_reader>(message_reader::kind::request);
+        stream_events events;
+        events.on_bytes = [this, number](std::string_view bytes) { on_bytes(number, bytes); };
+        events.on_end = [this, number](stream_end) {
+            m_loop.run_at(m_loop.now(), [this, number] { m_connections.erase(number); });
+        };
+        made.stream = std::make_unique<tcp_stream>(m_loop, socket, stream_options{}, std::move(events));
+    });
+}
+
+std::string shard_server::records(std::string const& service, std::string const& request_id)
+{
+    std::string out;
+    for (int i = 0; i < 5; ++i) {
+        auto const hash = std::hash<std::string>()(service + request_id + std::to_string(i));
+        char record[17];
+        std::snprintf(record, sizeof record, "%016zx", hash);
+        out.append(record, record_size);
+    }
+    return out;
+}
+
+void shard_server::on_bytes(std::uint64_t number, std::string_view bytes)
+{
+    auto const found = m_connections.find(number);
+    if (found == m_connections.end()) return;
+    auto& reader = *found->second.reader;
+    reader.feed(bytes);
+    if (reader.state() == parse_state::incomplete) {
+        if (m_behaviour.mode == "early" && reader.headers_done()) {
+            http_response refusal;
+            refusal.status = 503;
+            refusal.headers = {{"not-executed", "1"}};
+            found->second.stream->send(serialize(refusal, false));
+        }
+        return;
+    }
+    auto request = std::move(reader.request());
+    reader.restart();
+    on_request(number, std::move(request));
+}
+
+std::string shard_server::take_mode()
+{
+    auto const mode = m_behaviour.mode;
+    if (m_behaviour.times > 0 && --m_behaviour.times == 0) m_behaviour = {};
+    return mode;
+}
+
+void shard_server::on_request(std::uint64_t number, http_request request)
+{
+    auto const mode = take_mode();
+    auto const now_ms = std::chrono::duration_cast<milliseconds>(m_loop.now().time_since_epoch()).count();
+    bool const misdirected = request.header("target-instance") != m_id;
+    bool const runs = !misdirected && mode != "shed" && mode != "early";
+    m_journal.push_back({request.header("request-id"), m_id, m_service, request.method + " " + request.path,
+                         request.body, runs, now_ms});
+    auto& stream = *m_connections.at(number).stream;
+    if (misdirected || !runs) {
+        http_response refusal;
+        refusal.status = misdirected ? 421 : 503;
+        refusal.headers = {{misdirected ? "instance-id" : "not-executed", misdirected ? m_id : "1"}};
+        stream.send(serialize(refusal, false));
+        return;
+    }
+    if (mode == "hang") return;
+    if (mode == "reset" || mode == "silent_run") {
+        m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms),
+                      [this, number] { m_connections.erase(number); });
+        return;
+    }
+    m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms),
+                  [this, number, request, mode] { answer(number, request, mode); });
+}
+
+http_response shard_server::make_answer(http_request const& request) const
+{
+    http_response response;
+    response.headers = {{"request-id", request.header("request-id")},
+                        {"server-stamp", m_id + "." + request.header("request-id")}};
+    response.body = request.body.empty() ? records(m_service, request.header("request-id")) : "ran " + request.body;
+    return response;
+}
+
+void shard_server::answer(std::uint64_t number, http_request const& request, std::string const& mode)
+{
+    auto const found = m_connections.find(number);
+    if (found == m_connections.end()) return;
+    auto& to = found->second;
+    auto response = make_answer(request);
+    if (mode == "error") response.status = 500;
+    if (mode == "no_signature") std::erase_if(response.headers, [](auto const& h) { return h.name == "server-stamp"; });
+    if (mode == "encoded") response.headers.push_back({"content-encoding", "gzip"});
+    auto bytes = serialize(response, false);
+    if (!to.late.empty()) bytes = std::exchange(to.late, {}) + bytes;
+    if (mode == "late_extra") to.late = serialize(response, false);
+    if (mode == "extra") bytes += serialize(response, false);
+    if (mode == "unframed") {
+        auto const length = "content-length: " + std::to_string(response.body.size()) + "\r\n";
+        bytes.erase(bytes.find(length), length.size());
+    }
+    if (mode == "truncated") bytes.resize(bytes.size() - 7);
+    to.stream->send(bytes);
+    if (mode == "unframed" || mode == "truncated") {
+        m_loop.run_at(m_loop.now() + milliseconds(1), [this, number] { m_connections.erase(number); });
+    }
+}
+
+} // namespace cornelspring::testing
--- /dev/null
+++ b/tests/test_gateway_process.cpp
@@ -0,0 +1,287 @@
+/** @file test_gateway_process.cpp The gateway as a process, against the platform played on loopback, under faults. */
+#include "gateway_fixture.hpp"
+
+#include "shard_server.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+/** @return the answer that shards @p services together give to request @p id. */
+std::string expected_records(std::vector<std::string> const& services, std::string const& id, std::size_t top)
+{
+    std::vector<std::string> records;
+    for (auto const& service : services) {
+        auto const all = shard_server::records(service, id);
+        for (std::size_t at = 0; at < all.size(); at += record_size)
+            records.push_back(all.substr(at, record_size));
+    }
+    std::sort(records.rbegin(), records.rend());
+    std::string out;
+    for (std::size_t i = 0; i < top; ++i)
+        out += records[i];
+    return out;
+}
+
+/** @return how often requests with id @p id ran, according to @p journal. */
+int runs_of(json const& journal, std::string const& id)
+{
+    int runs = 0;
+    for (auto const& entry : journal)
+        runs += entry["id"] == id && entry["ran"] == true ? 1 : 0;
+    return runs;
+}
+
+/** All shards. */
+std::vector<std::string> const shards = {"g0", "g1", "g2", "g3"};
+
+} // namespace
+
+TEST_CASE("one gateway serves queries, single requests, readiness, addresses and metrics")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto const answer = fleet.ask(1, "/q/a?x=1", "id-1");
+    CHECK(answer.status == 200);
+    CHECK(answer.header("missing-parts") == "0");
+    CHECK(answer.body == expected_records(shards, "id-1", 4));
+    auto const read = fleet.ask(1, "/r/x", "id-2");
+    CHECK(read.status == 200);
+    CHECK(read.header("server-stamp") != "");
+    CHECK(read.body == shard_server::records("s", "id-2"));
+    auto const write = fleet.ask(1, "/w/x", "id-3", "POST", "entry");
+    CHECK(write.body == "ran entry");
+    CHECK(fleet.ask(1, "/none/x", "id-4").status == 404);
+    auto const addresses = gateway_fleet::get(gateway_fleet::address(1, "directory"),
+                                              "/cornelspring/resolve?name=h.example&region=r-d1&zone=d1");
+    CHECK(json::parse(addresses.body)["addrs"] == json::array({gateway_fleet::address(1, "frontend").to_string()}));
+    CHECK(json::parse(addresses.body)["ttl_s"].get<int>() >= 1);
+    auto const metrics = gateway_fleet::get({gateway_fleet::address(1, "ready").host, 9464}, "/metrics");
+    CHECK(metrics.body.find("cornel_gateway_requests_total") != std::string::npos);
+}
+
+TEST_CASE("whatever a backend server sends, a caller gets its own whole answer or a failure")
+{
+    struct row {
+        char const* mode;
+        int gather_status;
+    };
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    int number = 0;
+    for (auto const& each : {row{"extra", 200}, row{"late_extra", 200}, row{"unframed", 200}, row{"truncated", 200},
+                             row{"no_signature", 200}, row{"encoded", 200}, row{"error", 200}, row{"shed", 200},
+                             row{"reset", 200}, row{"silent_run", 200}, row{"hang", 200}, row{"early", 200}}) {
+        CAPTURE(std::string(each.mode));
+        fleet.behave({{"service", "s"}, {"backend", "i-s-0"}, {"mode", each.mode}});
+        fleet.behave({{"service", "g1"}, {"backend", "i-g1-0"}, {"mode", each.mode}});
+        for (int i = 0; i < 6; ++i) {
+            auto const id = "id-" + std::to_string(++number);
+            auto const query = fleet.ask(1, "/q/a", id);
+            CHECK(query.status == each.gather_status);
+            auto parts = shards;
+            if (query.header("missing-parts") == "1") parts.erase(parts.begin() + 1);
+            CHECK(query.body == expected_records(parts, id, 4));
+            auto const read = fleet.ask(1, "/r/a", id + "r");
+            if (read.status == 200) CHECK(read.body == shard_server::records("s", id + "r"));
+            CHECK(read.status == 200);
+            auto const write = fleet.ask(1, "/w/a", id + "w", "POST", "entry " + id);
+            if (write.status == 200) CHECK(write.body == "ran entry " + id);
+            CHECK((write.status == 200 || write.status == 502 || write.status == 504 || write.status == 500));
+        }
+        fleet.behave({{"mode", "ok"}});
+    }
+    auto const journal = fleet.journal();
+    std::set<std::string> writes;
+    for (auto const& entry : journal) {
+        if (entry["line"] == "POST /w/a") writes.insert(entry["id"]);
+    }
+    for (auto const& id : writes)
+        CHECK(runs_of(journal, id) <= 1);
+}
+
+TEST_CASE("a refused write has not run, and one that ran is never called refused")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.behave({{"service", "s"}, {"mode", "shed"}});
+    auto const refused = fleet.ask(1, "/w/a", "id-1", "POST", "x");
+    CHECK(refused.status == 503);
+    CHECK(refused.header("retry-after") != "");
+    CHECK(runs_of(fleet.journal(), "id-1") == 0);
+    fleet.behave({{"service", "s"}, {"mode", "silent_run"}});
+    std::this_thread::sleep_for(200ms);
+    CHECK(fleet.ask(1, "/w/a", "id-2", "POST", "x").status == 502);
+    CHECK(runs_of(fleet.journal(), "id-2") == 1);
+}
+
+TEST_CASE("callers that break the protocol are refused, and nothing of theirs reaches a backend server")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    struct row {
+        std::string bytes;
+        int status;
+    };
+    std::string const host = "Host: h.example\r\n";
+    for (auto const& each : std::vector<row>{
+             {"POST /w/a HTTP/1.1\r\n" + host + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+              400},
+             {"POST /w/a HTTP/1.1\r\n" + host + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", 400},
+             {"GET /r/a HTTP/1.1\r\n\r\n", 400},
+             {"GET /r/a HTTP/1.1\r\n" + host + host + "\r\n", 400},
+             {"GET r/a HTTP/1.1\r\n" + host + "\r\n", 400},
+             {"GET /r/a HTTP/1.1\r\n" + host + "X: " + std::string(5000, 'x') + "\r\n\r\n", 431},
+             {"POST /w/a HTTP/1.1\r\n" + host + "Content-Length: 20000\r\n\r\n", 413},
+             {"POST /w/a HTTP/1.1\r\n" + host + "Content-Length: 20\r\n\r\nslow", 408}}) {
+        CAPTURE(each.bytes.substr(0, 120));
+        raw_connection connection(gateway_fleet::address(1, "frontend"));
+        connection.send(each.bytes);
+        auto const answer = connection.receive();
+        REQUIRE(answer);
+        CHECK(answer->status == each.status);
+    }
+    CHECK(fleet.journal().empty());
+}
+
+TEST_CASE("a stopping gateway finishes what it has, takes in no idle connection's cut, and is not named")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.start_gateway(2, "d2");
+    auto const named = [&](int asked) {
+        return gateway_fleet::get(gateway_fleet::address(asked, "directory"),
+                                  "/cornelspring/resolve?name=h.example&region=r-d1&zone=d1")
+            .body;
+    };
+    REQUIRE(within_ten_seconds([&] { return json::parse(named(2))["addrs"].size() == 2; }));
+    fleet.behave({{"service", "s"}, {"work_ms", 800}});
+    raw_connection slow(gateway_fleet::address(1, "frontend"));
+    slow.send(
+        "POST /w/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline: 1900\r\nContent-Length: 1\r\n\r\nx");
+    std::this_thread::sleep_for(100ms);
+    std::thread stopping([&] { CHECK(fleet.processes.stop("gw-1", SIGTERM) == 0); });
+    fleet.await_ready(1, 503);
+    auto const answer = slow.receive();
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->header("connection") == "close");
+    CHECK(within_ten_seconds(
+        [&] { return named(2).find(gateway_fleet::address(1, "frontend").to_string()) == std::string::npos; }));
+    // Callers that still have its address are served until shortly before its time is up.
+    CHECK(fleet.ask(1, "/q/a", "id-2").status == 200);
+    stopping.join();
+    CHECK(fleet.ask(1, "/q/a", "id-3").status == 0);
+}
+
+TEST_CASE("through a store outage gateways serve on, and learn what changed after it")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.store("fault", {{"mode", "silent"}});
+    std::this_thread::sleep_for(3s);
+    CHECK(fleet.ask(1, "/q/a", "id-1").status == 200);
+    fleet.configure(2, {"g0", "g1"});
+    fleet.store("fault", {{"mode", "ok"}});
+    CHECK(within_ten_seconds([&] {
+        return fleet.ask(1, "/q/a", "id-2").body == expected_records({"g0", "g1"}, "id-2", 4);
+    }));
+}
+
+TEST_CASE("a gateway that starts while the store is away learns everything from another")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.store("fault", {{"mode", "silent"}});
+    fleet.start_gateway(2, "d2");
+    CHECK(fleet.ask(2, "/q/a", "id-1").body == expected_records(shards, "id-1", 4));
+}
+
+TEST_CASE("only one gateway of a failure domain watches the store, and the others learn changes from it in time")
+{
+    gateway_fleet fleet;
+    for (int number = 1; number <= 4; ++number)
+        fleet.start_gateway(number);
+    std::this_thread::sleep_for(2s);
+    auto const before = fleet.store("calls")["/cornelspring/kv-watch"].get<int>();
+    auto const begin = clock::now();
+    fleet.configure(2, {"g0", "g1"});
+    for (int number = 1; number <= 4; ++number) {
+        CHECK(within_ten_seconds([&] {
+            auto const id = "id-" + std::to_string(number);
+            return fleet.ask(number, "/q/a", id).body == expected_records({"g0", "g1"}, id, 4);
+        }));
+    }
+    CHECK(clock::now() - begin < 1500ms);
+    std::this_thread::sleep_for(3s);
+    auto const watches = fleet.store("calls")["/cornelspring/kv-watch"].get<int>() - before;
+    CHECK(watches <= 5); // One VM, 1.5 s each; four VMs made four times as many.
+    // The one that reads the store dies: the others find the next at once.
+    fleet.processes.stop("gw-1", SIGKILL);
+    fleet.configure(3, {"g2", "g3"});
+    CHECK(within_ten_seconds([&] {
+        return fleet.ask(4, "/q/a", "id-9").body == expected_records({"g2", "g3"}, "id-9", 4);
+    }));
+}
+
+TEST_CASE("a watch that hears nothing does not keep a configuration back")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.store("fault", {{"deaf_watches", true}});
+    std::this_thread::sleep_for(2s);
+    fleet.configure(2, {"g0", "g1"});
+    fleet.store("fault", {{"deaf_watches", false}});
+    auto const begin = clock::now();
+    CHECK(within_ten_seconds([&] {
+        return fleet.ask(1, "/q/a", "id-2").body == expected_records({"g0", "g1"}, "id-2", 4);
+    }));
+    CHECK(clock::now() - begin < 2500ms);
+}
+
+TEST_CASE("draining and removed backend servers get no new work, and another server at the address runs nothing")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto entry = fleet.entries()["i-s-0"];
+    entry["state"] = "draining";
+    fleet.register_backend("i-s-0", entry);
+    std::this_thread::sleep_for(600ms);
+    auto const count = [&](char const* backend) {
+        int found = 0;
+        for (auto const& each : fleet.journal())
+            found += each["backend"] == backend ? 1 : 0;
+        return found;
+    };
+    for (int i = 0; i < 10; ++i)
+        CHECK(fleet.ask(1, "/r/a", "id-" + std::to_string(i)).status == 200);
+    CHECK(count("i-s-0") == 0);
+    std::this_thread::sleep_for(1s); // Shortly after the news, a draining server may still help when no other can.
+    // The other one's address goes to a server of another service.
+    fleet.behave({{"backend", "i-s-1"}, {"rename", "i-other-7"}});
+    auto const refused = fleet.ask(1, "/w/a", "id-w", "POST", "x");
+    CHECK(runs_of(fleet.journal(), "id-w") == 0);
+    CHECK(refused.status == 503);
+}
+
+TEST_CASE("a caller that leaves takes its work along")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.behave({{"service", "s"}, {"mode", "hang"}});
+    {
+        raw_connection caller(gateway_fleet::address(1, "frontend"));
+        caller.send("GET /r/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nDeadline: 1900\r\n\r\n");
+        std::this_thread::sleep_for(100ms);
+    }
+    std::this_thread::sleep_for(1s);
+    CHECK(runs_of(fleet.journal(), "id-1") == 1); // Not retried or hedged after the caller had left.
+}
