--- a/include/cornelspring/state.hpp
+++ b/include/cornelspring/state.hpp
@@ -35,7 +35,7 @@
 struct backend_spec {
     std::string address;           ///< host:port of its HTTP/2 listener.
     std::string service;           ///< Service whose shards it holds.
-    std::string zone;              ///< Failure domain (Wien, Perth, ...).
+    std::string failure_domain;    ///< Failure domain (Wien, Perth, ...).
     std::vector<holding> holdings; ///< Shards held, per index version.
     std::int32_t slots = 2;        ///< Requests it runs at once.
     std::int32_t connections = 25; ///< Connections it accepts.
@@ -92,17 +92,17 @@
 
 /** An entry node as registered in the store. */
 struct member {
-    std::string id;      ///< Entry node id.
-    std::string address; ///< Caller-facing host:port.
-    std::string zone;    ///< Failure domain.
+    std::string id;             ///< Entry node id.
+    std::string address;        ///< Caller-facing host:port.
+    std::string failure_domain; ///< Failure domain.
 };
 
 /** A back end that can answer one shard at one version. */
 struct replica {
-    std::string name;       ///< Back end name.
-    endpoint address;       ///< Where to send.
-    std::string zone;       ///< Failure domain.
-    std::int32_t slots = 2; ///< Requests it runs at once.
+    std::string name;           ///< Back end name.
+    endpoint address;           ///< Where to send.
+    std::string failure_domain; ///< Failure domain.
+    std::int32_t slots = 2;     ///< Requests it runs at once.
 };
 
 /** Replicas of each shard of one service at one index version. */
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -31,7 +31,7 @@
 void membership::register_self()
 {
     if (m_lease == 0) m_lease = m_store.grant_lease(m_ttl_s);
-    nlohmann::json const body{{"address", m_self.address}, {"zone", m_self.zone}};
+    nlohmann::json const body{{"address", m_self.address}, {"failure_domain", m_self.failure_domain}};
     m_store.put(std::string(member_prefix) + m_self.id, body.dump(), m_lease);
     m_registered = true;
     LOG4CPLUS_INFO(get_logger("entry.membership"), "registered as " << m_self.id << " under lease " << m_lease);
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -177,7 +177,7 @@
     std::vector<std::string> far;
     for (auto const& [id, node] : snapshot->members) {
         if (!include_self && id == m_config.id) continue;
-        (node.zone == m_config.zone ? near : far).push_back(node.address);
+        (node.failure_domain == m_config.failure_domain ? near : far).push_back(node.address);
     }
     // Each caller gets another order and, in a large fleet, another part, so that callers spread over the nodes.
     std::shuffle(near.begin(), near.end(), m_random);
--- a/src/entry/entry_service.hpp
+++ b/src/entry/entry_service.hpp
@@ -15,7 +15,7 @@
 /** Identity and limits of an entry node. */
 struct entry_config {
     std::string id;                  ///< Entry node id.
-    std::string zone;                ///< Failure domain.
+    std::string failure_domain;      ///< Failure domain.
     std::size_t entries_limit = 16;  ///< Most addresses given to one caller.
     std::int64_t entries_ttl_s = 30; ///< How long callers keep the address list.
 };
@@ -52,7 +52,7 @@
     http_response metrics_text();
     /** @return the answer to GET /v1/entries. */
     http_response entries();
-    /** @return addresses of live entry nodes, same zone first, shuffled, at most entries_limit. */
+    /** @return addresses of live entry nodes, same failure domain first, shuffled, at most entries_limit. */
     std::vector<std::string> other_entries(bool include_self);
     /** @return a new request id. */
     std::string new_request_id();
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,7 +9,7 @@
 /** Settings of cornel-entry. */
 std::vector<setting_def> const entry_settings = {
     {"id", setting_type::text, std::nullopt, 0, 0, "entry node id, unique in the fleet"},
-    {"zone", setting_type::text, setting_value{std::string("")}, 0, 0, "failure domain of this machine"},
+    {"failure_domain", setting_type::text, setting_value{std::string("")}, 0, 0, "failure domain of this VM"},
     {"listen.host", setting_type::text, setting_value{std::string("127.0.0.1")}, 0, 0, "address to bind"},
     {"listen.port", setting_type::integer, setting_value{std::int64_t{8080}}, 0, 65535, "TCP port; 0 picks one"},
     {"advertise", setting_type::text, setting_value{std::string("")}, 0, 0,
@@ -25,7 +25,7 @@
     {"entries_ttl_s", setting_type::integer, setting_value{std::int64_t{30}}, 1, 3600,
      "how long callers keep the list of entry addresses, in seconds"},
     {"entries_limit", setting_type::integer, setting_value{std::int64_t{16}}, 1, 1000,
-     "most entry addresses given to one caller; same zone first"},
+     "most entry addresses given to one caller; same failure domain first"},
     {"query.default_deadline_ms", setting_type::integer, setting_value{std::int64_t{1000}}, 1, 60000,
      "deadline of a query that gives none, in milliseconds"},
     {"query.max_tries_per_shard", setting_type::integer, setting_value{std::int64_t{4}}, 1, 10,
@@ -114,7 +114,7 @@
 {
     entry_config identity;
     identity.id = config.text("id");
-    identity.zone = config.text("zone");
+    identity.failure_domain = config.text("failure_domain");
     identity.entries_limit = static_cast<std::size_t>(config.integer("entries_limit"));
     identity.entries_ttl_s = config.integer("entries_ttl_s");
     return identity;
@@ -158,7 +158,7 @@
     server.start();
     std::string advertise = config.text("advertise");
     if (advertise.empty()) advertise = endpoint{listen.listen.host, server.port()}.to_string();
-    membership members(store, member{identity.id, advertise, identity.zone}, config.integer("lease_ttl_s"));
+    membership members(store, member{identity.id, advertise, identity.failure_domain}, config.integer("lease_ttl_s"));
     members.start();
     LOG4CPLUS_INFO(logger, identity.id << " listening on " << advertise);
     if (!config.text("ready_file").empty()) write_file_atomic(config.text("ready_file"), std::to_string(server.port()));
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -33,7 +33,7 @@
     }
 }
 
-/** @return a loopback address. Load and faults never leave this machine. */
+/** @return a loopback address. Load and faults never leave this host. */
 endpoint loopback_endpoint(std::string const& text, std::string const& source)
 {
     auto const address = parse_endpoint(text);
--- a/src/state/config_view.cpp
+++ b/src/state/config_view.cpp
@@ -28,7 +28,7 @@
         }
         auto const body = nlohmann::json::parse(event.kv.value, nullptr, false);
         if (body.is_object()) {
-            snapshot.members[member_id] = {member_id, body.value("address", ""), body.value("zone", "")};
+            snapshot.members[member_id] = {member_id, body.value("address", ""), body.value("failure_domain", "")};
         }
         return;
     }
--- a/src/state/resources.cpp
+++ b/src/state/resources.cpp
@@ -106,14 +106,14 @@
 
 backend_spec backend_from(nlohmann::json const& spec, std::string const& where)
 {
-    only_fields(
-        spec,
-        {"address", "service", "zone", "shards", "index_versions", "holdings", "slots", "connections", "draining"},
-        where);
+    only_fields(spec,
+                {"address", "service", "failure_domain", "shards", "index_versions", "holdings", "slots", "connections",
+                 "draining"},
+                where);
     backend_spec out;
     out.address = required<std::string>(spec, "address", where);
     out.service = required<std::string>(spec, "service", where);
-    out.zone = field<std::string>(spec, "zone", "", where);
+    out.failure_domain = field<std::string>(spec, "failure_domain", "", where);
     out.holdings = holdings_from(spec, where);
     out.slots = field<std::int32_t>(spec, "slots", 2, where);
     out.connections = field<std::int32_t>(spec, "connections", 25, where);
@@ -144,7 +144,7 @@
         auto holdings = nlohmann::json::array();
         for (auto const& item : b->holdings)
             holdings.push_back({{"index_version", item.index_version}, {"shards", item.shards}});
-        return {{"address", b->address},  {"service", b->service}, {"zone", b->zone},
+        return {{"address", b->address},  {"service", b->service}, {"failure_domain", b->failure_domain},
                 {"holdings", holdings},   {"slots", b->slots},     {"connections", b->connections},
                 {"draining", b->draining}};
     }
@@ -238,7 +238,7 @@
     routing.clear();
     for (auto const& [name, spec] : backends) {
         if (spec.draining) continue;
-        replica const self{name, parse_endpoint(spec.address), spec.zone, spec.slots};
+        replica const self{name, parse_endpoint(spec.address), spec.failure_domain, spec.slots};
         for (auto const& held : spec.holdings) {
             auto& shards = routing[{spec.service, held.index_version}];
             for (auto shard : held.shards) {
--- a/tests/test_resources.cpp
+++ b/tests/test_resources.cpp
@@ -18,7 +18,7 @@
 name = "cat01-a"
 address = "127.0.0.1:9000"
 service = "catalogue-01"
-zone = "Perth"
+failure_domain = "Perth"
 shards = [0, 1]
 index_versions = [3]
 
@@ -48,7 +48,7 @@
     CHECK(service.shards == 2);
     CHECK(service.index_version == 3);
     auto const& backend = std::get<backend_spec>(resources[1].spec);
-    CHECK(backend.zone == "Perth");
+    CHECK(backend.failure_domain == "Perth");
     CHECK(resource_from_json(resource_to_json(resources[1])).name == "cat01-a");
 }
 
