--- a/tests/deployment.hpp
+++ b/tests/deployment.hpp
@@ -50,7 +50,7 @@
         std::vector<std::string> const holdings = {"[0,1]", "[1,2]", "[2,0]"};
         for (std::size_t i = 0; i < backends.size(); ++i) {
             text += "[[backend]]\nname = \"b" + std::to_string(i) + "\"\naddress = \"" + loopback(backends[i]) +
-                    "\"\nservice = \"svc\"\nzone = \"Wien\"\nshards = " + holdings[i] + "\n";
+                    "\"\nservice = \"svc\"\nfailure_domain = \"Wien\"\nshards = " + holdings[i] + "\n";
         }
         return text;
     }
