One check of statuses that promise 'not run'; unused accessors and a stale comment removed

Cause: read as a newcomer, the dispatcher listed the four statuses twice, two accessors had no user, a comment said something untrue of the call number, and a buffer size restated the library's default. Change: promises_not_run(); the rest removed. No decision and no check changes.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -343,8 +343,6 @@
     void on_finished(admission_outcome const& outcome, time_point now);
     /** @return whether queries were seen to queue shortly before @p now. @param now present time. */
     bool congested(time_point now) const;
-    /** @return the bound. */
-    double limit() const { return m_limit; }
 
 private:
     double m_limit = 0;        ///< Bound; 0 before begin().
--- a/src/gateway/store_channel.hpp
+++ b/src/gateway/store_channel.hpp
@@ -25,7 +25,7 @@
     std::unique_ptr<client_connection> m_connection; ///< Connection.
     endpoint m_peer;                                 ///< Its peer.
     timer_id m_limit;                                ///< Ends a call without an answer.
-    std::uint64_t m_call = 0;                        ///< Number of the present call; odd while none is under way.
+    std::uint64_t m_call = 0; ///< Grows with each call and each end of one; tells late results apart.
 };
 
 } // namespace cornelspring
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -118,7 +118,6 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = loop_protocols;
     info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-    info.pt_serv_buf_size = 4096; // Unused by raw descriptors; the default of 4 KiB would do, smaller saves nothing.
     m_impl->context = lws_create_context(&info);
     m_impl->vhost = m_impl->context == nullptr ? nullptr : lws_get_vhost_by_name(m_impl->context, "default");
     if (m_impl->vhost == nullptr) {
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -4,6 +4,12 @@
 #include <algorithm>
 
 namespace cornelspring {
+namespace {
+
+/** @return whether @p status promises a caller that its request has not run and never will. */
+bool promises_not_run(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
+
+} // namespace
 
 bool request_state::may_have_run() const
 {
@@ -27,8 +33,7 @@
         if (request.done == 1) {
             auto answer = std::move(*request.shards[0].answer);
             // A non-idempotent request that ran must not get a status that promises it did not.
-            bool const promises =
-                answer.status == 503 || answer.status == 429 || answer.status == 408 || answer.status == 421;
+            bool const promises = promises_not_run(answer.status);
             bool const unsigned_success = answer.status / 100 == 2 && answer.header(options.names.signature).empty();
             if (promises || unsigned_success) answer = own_answer(502, "the backend server failed");
             remove_hop_by_hop(answer.headers);
@@ -70,8 +75,7 @@
     if (timed_out) return own_answer(504, "the deadline passed");
     if (!request.gathers() && request.shards[0].answer) {
         auto answer = std::move(*request.shards[0].answer);
-        bool const promises =
-            answer.status == 503 || answer.status == 429 || answer.status == 408 || answer.status == 421;
+        bool const promises = promises_not_run(answer.status);
         if (!promises && answer.status / 100 != 2) {
             remove_hop_by_hop(answer.headers);
             return answer;
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -56,14 +56,6 @@
     }
 }
 
-bool raw_connection::closed_by_peer()
-{
-    timeval limit{2, 0};
-    setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    char byte = 0;
-    return m_fd < 0 || recv(m_fd, &byte, 1, 0) == 0;
-}
-
 bool within_ten_seconds(std::function<bool()> const& holds)
 {
     auto const until = clock::now() + std::chrono::seconds(10);
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -19,8 +19,6 @@
     void send(std::string const& bytes);
     /** @return one response, or nothing when the connection ended before a whole one came. */
     std::optional<http_response> receive();
-    /** @return whether the peer closed the connection, within two seconds. */
-    bool closed_by_peer();
 
 private:
     int m_fd;            ///< Socket.
