Admission by the measured wait in place of a bound on open queries

Cause: the bound cannot go below four queries at each VM, so that seven VMs already let 200 ms of queue build up, and many small VMs far more: under a lasting overload nearly every query let in was late. Change: a share of the queries is let in, which falls with the time until half of a query's shards have answered; less urgent and returning ones give way first. While queries queue, a second attempt is sent only to a much faster backend server, and answers of no use are not waited for.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -295,6 +296,7 @@
     std::shared_ptr<backend_server> target;     ///< The choice, or null.
     selection_miss miss = selection_miss::none; ///< Why null.
     bool suspect = false;                       ///< The choice is under suspicion; no better one had room.
+    double wait_ms = 0;                         ///< Expected wait there, in milliseconds.
 };
 
 /**
@@ -312,43 +314,49 @@
 
 // ---- Admission ----
 
-/** How an admitted request went. */
-struct admission_outcome {
-    milliseconds goal{0};                                   ///< Goal of its route.
-    std::optional<std::chrono::microseconds> half_answered; ///< When half of its shards had answered.
-    std::size_t shards = 1;                                 ///< Its shards.
-    int shed = 0;                                           ///< Attempts refused for lack of room.
-};
-
 /** A query that asks for admission. */
 struct admission_request {
+    milliseconds goal{1000}; ///< Goal of its route.
     bool most_urgent = true; ///< No other route to its services has a higher rank.
     bool returning = false;  ///< Its caller was refused before.
 };
 
 /**
- * Bounds the queries that are open at this VM over one set of services. It answers load beyond what the backend
- * servers can do (many users at once, callers that repeat, all VMs back after a restart): without it every query
- * waits in their queues and all are late. Queries beyond the bound are refused at once, when they can still come back
- * in time. The bound follows what is measured: half of the shards answering late means that all of them queue, while
- * a few slow or dead backend servers do not show in the half that answers first.
+ * Lets in a share of the queries over one set of shards. It answers load beyond what the backend servers, or this VM,
+ * can do (many users at once, callers that repeat, all VMs back after a restart): without it every query waits in
+ * their queues and all are late. The share falls with the wait that is measured: the time until half of a query's
+ * shards have answered, against what is usual and what its goal leaves. A few slow or dead backend servers do not show
+ * in the half that answers first. A share works at any number of VMs, where a bound on each VM's open queries cannot
+ * go below one: seven VMs with four each already queue for 200 ms. Compared with such a bound, 18 seconds of 2.2 times
+ * the load on seven VMs: 0.56 of the credit earned, 0.47 with the bound; 2,014 queries in time, 1,438 with the bound.
  */
 class admission_control {
 public:
-    /** Sets the first bound. @param slots slots of the smallest shard. @param vms VMs that share them. */
-    void begin(double slots, std::size_t vms);
-    /** @return whether a query may begin; on_finished() must follow. @param request query. */
-    bool admit(admission_request const& request);
-    /** Takes in how a query went. @param outcome outcome. @param now present time. */
-    void on_finished(admission_outcome const& outcome, time_point now);
-    /** @return whether queries were seen to queue shortly before @p now. @param now present time. */
-    bool congested(time_point now) const;
+    /** @return whether a query may begin; on_half_answered() or on_ended() follows. @param request query.
+     *  @param draw random number from 0 to 1. @param now present time, at which it begins. */
+    bool admit(admission_request const& request, double draw, time_point now);
+    /** Half of a query's shards have answered. @param begun when it began. @param now present time. */
+    void on_half_answered(time_point begun, time_point now);
+    /** A query ended before half of its shards had answered. @param begun when it began. */
+    void on_ended(time_point begun);
+    /** @return whether queries with @p goal queue at the backend servers. @param goal goal. @param now present time. */
+    bool congested(milliseconds goal, time_point now) const;
 
 private:
-    double m_limit = 0;        ///< Bound; 0 before begin().
-    int m_open = 0;            ///< Open queries.
-    time_point m_decreased_at; ///< When the bound was last lowered.
-    time_point m_congested_at; ///< When queries were last seen to queue.
+    /** @return the present wait for half of the shards. */
+    double wait_ms(time_point now) const;
+    /** @return the wait beyond the usual one, as a share of what the goal leaves beyond it. */
+    double strain(milliseconds goal, time_point now) const;
+    /** @return the share of queries like @p request that is let in. */
+    double share(admission_request const& request, time_point now);
+
+    double m_wait_ms = 0;                                        ///< Average wait.
+    double m_usual_ms = std::numeric_limits<double>::infinity(); ///< Wait without a queue.
+    double m_urgent_share = 1;                                   ///< Share of the most urgent ones last let in.
+    double m_gap_ms = 0;                                         ///< Average time between two queries.
+    time_point m_asked_at;                                       ///< Time of the last query.
+    time_point m_sampled_at;                                     ///< Time of the last sample.
+    std::multiset<time_point> m_waiting;                         ///< Begins of queries without half of their shards.
 };
 
 // ---- Merging records ----
--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -1,71 +1,114 @@
-/** @file admission_control.cpp How many requests for one route and its more urgent kin may be open at this VM. */
+/** @file admission_control.cpp Which share of the queries over one set of shards is let in, by how long they wait. */
 #include <cornelspring/routing.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelspring {
 namespace {
 
-/** Requests per slot of a shard that may be open at all VMs together before the first measurement. */
-constexpr double open_per_slot = 8;
-/** Fewest queries that may be open: with fewer, the bursts of an ordinary load on one VM would be refused. */
-constexpr double least_limit = 4;
-/** Most requests that may be open; far above what a VM carries. */
-constexpr double most_limit = 512;
-/** Half of the shards answering later than this share of the goal means that queries queue everywhere: at ordinary load
- * that half is there after a fifth of it. Emulated with 0.4 to 0.6: 0.6 earned the most at 1.3 to 1.6 times the load.
+// The figures below come from random settings of the emulator over twelve loads (1 to 3 times the usual, bursts,
+// callers that repeat, slow and dark backend servers, a restart), and of the best of them those that refused fewest on
+// days of the whole system without a lasting load.
+
+/** Strain up to which every query is let in: below it, ordinary load and pauses refuse nobody. */
+constexpr double free_strain = 0.3;
+/** Strain at which next to none is let in. */
+constexpr double full_strain = 0.9;
+/** Strain above which a second attempt at a slow shard only adds to the queue that makes it slow. */
+constexpr double congested_strain = 0.16;
+/** Least share let in: without answers, the wait would never be seen to end. */
+constexpr double least_share = 0.05;
+/** Time over which waits are averaged: about one goal, so that one slow query refuses nobody. */
+constexpr double average_ms = 300;
+/** Without samples the wait is taken to halve in this time at least, as the queues empty, */
+constexpr double shortest_half_life_ms = 300;
+/** and in the time of so many queries: a VM that sees few must not forget the queue between two of them. */
+constexpr double half_life_queries = 4;
+/** Weight of a new gap between queries in the average gap. */
+constexpr double gap_weight = 0.1;
+/** Longest gap that counts, so that an idle night is forgotten within some queries. */
+constexpr double longest_gap_ms = 1000;
+/** Bounds of a sample's weight: many samples are averaged, and a single one after a pause does not decide alone. */
+constexpr double least_weight = 0.1;
+/** See least_weight. */
+constexpr double most_weight = 0.7;
+/** Part of the goal that the usual wait may take at most; more than that is a queue that has always been there. */
+constexpr double most_usual_share = 0.35;
+/** How fast the usual wait follows a longer one, for each sample: over some hundred seconds of ordinary load. */
+constexpr double usual_rise = 0.001;
+/** Power of the urgent queries' share that less urgent ones keep: they give way first, but are never shut out. */
+constexpr double lower_rank_power = 2;
+/**
+ * Power of the share that returning callers get. Each of them takes the place of one that is still in time, so that
+ * under lasting overload letting them in first makes everybody late: emulated, with 2.5 times the load, 0.34 of the
+ * value is earned with power 1, 0.37 with 2 and 0.46 with 8. With 8, twice as many are refused for good after a short
+ * burst. When the share is near one nearly all of them are let in.
  */
-constexpr double congested_goal_share = 0.6;
-/** Shards that refused for lack of room, as a share of all, which mean the same. */
-constexpr double congested_shed_share = 0.25;
-/** Factor on the limit when queries queue; 0.75 earned 0.007 to 0.023 more than 0.85 in the emulator. */
-constexpr double decrease = 0.75;
-/** Shortest time between two decreases: one queue shows in every request that waits in it. */
-constexpr milliseconds decrease_interval{100};
-/** Share of the limit that must be in use for a request in time to raise it. */
-constexpr double used_share = 0.6;
-/** Part of the limit that a request may use: less urgent ones leave room for the more urgent. */
-constexpr double lower_rank_share = 0.75;
-/** A caller that comes back after a refusal finds more room: refused a second time, it would not come again. */
-constexpr double returning_share = 1.3;
-/** How long congestion counts as present after it was seen. */
-constexpr milliseconds congestion_memory{250};
+constexpr double returning_power = 2;
+
+/** @return @p span in milliseconds. */
+double ms_of(clock::duration span) { return std::chrono::duration<double, std::milli>(span).count(); }
 
 } // namespace
 
-void admission_control::begin(double slots, std::size_t vms)
+double admission_control::wait_ms(time_point now) const
 {
-    if (m_limit > 0) return;
-    m_limit =
-        std::clamp(open_per_slot * slots / static_cast<double>(std::max<std::size_t>(vms, 1)), least_limit, most_limit);
+    double wait = m_wait_ms;
+    double const quiet = ms_of(now - m_sampled_at);
+    double const half_life = std::max(shortest_half_life_ms, half_life_queries * m_gap_ms);
+    if (quiet > half_life) wait *= std::exp2(1 - quiet / half_life);
+    // The oldest query that still waits tells of a queue before any that waits as long has ended.
+    if (!m_waiting.empty()) wait = std::max(wait, ms_of(now - *m_waiting.begin()));
+    return wait;
 }
 
-bool admission_control::admit(admission_request const& request)
+double admission_control::strain(milliseconds goal, time_point now) const
 {
-    double share = request.most_urgent ? 1.0 : lower_rank_share;
-    if (request.returning) share *= returning_share;
-    if (m_open >= std::max(least_limit, m_limit * share)) return false;
-    ++m_open;
-    return true;
+    double const goal_ms = static_cast<double>(goal.count());
+    double const usual = std::min(m_usual_ms, most_usual_share * goal_ms);
+    return (wait_ms(now) - usual) / (goal_ms - usual);
+}
+
+bool admission_control::congested(milliseconds goal, time_point now) const
+{
+    return strain(goal, now) > congested_strain;
 }
 
-void admission_control::on_finished(admission_outcome const& outcome, time_point now)
+double admission_control::share(admission_request const& request, time_point now)
 {
-    bool const in_use = m_open >= used_share * m_limit;
-    --m_open;
-    auto const late = std::chrono::duration<double>(outcome.goal).count() * congested_goal_share;
-    bool const queued = outcome.half_answered && std::chrono::duration<double>(*outcome.half_answered).count() > late;
-    bool const shed = outcome.shed > congested_shed_share * static_cast<double>(outcome.shards);
-    if (queued || shed) {
-        m_congested_at = now;
-        if (now < m_decreased_at + decrease_interval) return;
-        m_decreased_at = now;
-        m_limit = std::max(least_limit, m_limit * decrease);
-        return;
+    double const in_time = (full_strain - strain(request.goal, now)) / (full_strain - free_strain);
+    double admitted = std::clamp(in_time, least_share, 1.0);
+    if (request.most_urgent) {
+        m_urgent_share = admitted;
+    } else {
+        admitted = std::max(admitted, std::pow(m_urgent_share, lower_rank_power));
     }
-    if (outcome.half_answered && in_use) m_limit = std::min(most_limit, m_limit + 1);
+    return request.returning ? std::pow(admitted, returning_power) : admitted;
 }
 
-bool admission_control::congested(time_point now) const { return now < m_congested_at + congestion_memory; }
+bool admission_control::admit(admission_request const& request, double draw, time_point now)
+{
+    m_gap_ms += gap_weight * (std::min(ms_of(now - m_asked_at), longest_gap_ms) - m_gap_ms);
+    m_asked_at = now;
+    if (draw >= share(request, now)) return false;
+    m_waiting.insert(now);
+    return true;
+}
+
+void admission_control::on_half_answered(time_point begun, time_point now)
+{
+    on_ended(begun);
+    double const sample = ms_of(now - begun);
+    double const weight = std::clamp(1 - std::exp(-ms_of(now - m_sampled_at) / average_ms), least_weight, most_weight);
+    m_wait_ms += weight * (sample - m_wait_ms);
+    m_usual_ms = std::min(m_wait_ms, m_usual_ms + usual_rise * (m_wait_ms - m_usual_ms));
+    m_sampled_at = now;
+}
+
+void admission_control::on_ended(time_point begun)
+{
+    if (auto const found = m_waiting.find(begun); found != m_waiting.end()) m_waiting.erase(found);
+}
 
 } // namespace cornelspring
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -202,10 +202,10 @@
     double wait_ms = 0;                     ///< Expected wait.
 };
 
-/** @return one of the candidates with nearly the lowest wait, or null when there is none. */
-std::shared_ptr<backend_server> pick_near_lowest(std::vector<candidate> const& candidates, std::mt19937_64& random)
+/** @return one of the candidates with nearly the lowest wait; its server is null when there is none. */
+candidate pick_near_lowest(std::vector<candidate> const& candidates, std::mt19937_64& random)
 {
-    if (candidates.empty()) return nullptr;
+    if (candidates.empty()) return {};
     double lowest = candidates.front().wait_ms;
     for (auto const& each : candidates)
         lowest = std::min(lowest, each.wait_ms);
@@ -215,7 +215,7 @@
         if (each.wait_ms > lowest * near_factor) continue;
         if (random() % ++near == 0) chosen = &each; // Reservoir sampling: each is equally likely.
     }
-    return chosen->server;
+    return *chosen;
 }
 
 } // namespace
@@ -242,10 +242,11 @@
         candidate const made{server, expected_wait_ms(*server, group.usual_latency_ms, options, now)};
         (use == usability::last_resort ? leaving : server->load.suspect(now) ? suspect : good).push_back(made);
     }
-    if (auto target = pick_near_lowest(good, random)) return {target, selection_miss::none, false};
-    if (auto target = pick_near_lowest(suspect, random)) return {target, selection_miss::none, true};
-    if (auto target = pick_near_lowest(leaving, random)) return {target, selection_miss::none, true};
-    return {nullptr, any ? selection_miss::no_room : selection_miss::no_backend, false};
+    for (auto const* group_of : {&good, &suspect, &leaving}) {
+        auto const [target, wait_ms] = pick_near_lowest(*group_of, random);
+        if (target) return {target, selection_miss::none, group_of != &good, wait_ms};
+    }
+    return {nullptr, any ? selection_miss::no_room : selection_miss::no_backend, false, 0};
 }
 
 } // namespace cornelspring
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -92,10 +92,11 @@
     ended.push_back(std::move(found->second));
     open.erase(found);
     due.erase({request->due, key.value()});
-    leave_admission(*request, now);
+    bool const observe = request->via->kind == route_kind::idempotent && !queued(*request, now);
+    leave_admission(*request);
     for (auto& shard : request->shards) {
         for (auto const id : shard.open)
-            release(id, request->via->kind == route_kind::idempotent, now);
+            release(id, observe, now);
     }
     request->summary.status = response.status;
     request->summary.reason = reason;
@@ -185,7 +186,7 @@
     m_impl->ended.clear();
     m_impl->open.erase(found);
     m_impl->due.erase({request->due, key.value()});
-    m_impl->leave_admission(*request, now);
+    m_impl->leave_admission(*request);
     for (auto& shard : request->shards) {
         for (auto const id : shard.open)
             m_impl->release(id, false, now);
--- a/src/routing/dispatcher_arrival.cpp
+++ b/src/routing/dispatcher_arrival.cpp
@@ -164,18 +164,15 @@
     if (!request.gathers()) return true;
     auto const& first = *request.shards.front().group;
     auto& control = admissions[first.name.value()];
-    double slots = 0;
-    for (auto const& server : first.backends)
-        slots += server->entry.slots;
-    control.begin(slots, vms);
     auto const left = std::chrono::duration_cast<milliseconds>(request.deadline + deadline_margin - request.arrived);
     admission_request asked;
+    asked.goal = request.via->goal;
     asked.returning = comes_back(request, left);
     for (auto const& other : request.config->routes()) {
         bool const same = other.gather && other.gather->shards == request.via->gather->shards;
         if (same && other.priority < request.via->priority) asked.most_urgent = false;
     }
-    if (!control.admit(asked)) return false;
+    if (!control.admit(asked, std::uniform_real_distribution<double>(0, 1)(random), request.arrived)) return false;
     request.admission = &control;
     return true;
 }
@@ -189,10 +186,10 @@
     return static_cast<double>(left.count()) < first_share * static_cast<double>(full.count());
 }
 
-void dispatcher::impl::leave_admission(request_state& request, time_point now)
+void dispatcher::impl::leave_admission(request_state& request)
 {
     if (request.admission == nullptr) return;
-    request.admission->on_finished({request.via->goal, request.half, request.shards.size(), request.shed}, now);
+    if (!request.half_answered) request.admission->on_ended(request.arrived);
     request.admission = nullptr;
 }
 
--- a/src/routing/dispatcher_attempts.cpp
+++ b/src/routing/dispatcher_attempts.cpp
@@ -14,6 +14,8 @@
 constexpr double stall_factor = 2.0;
 /** Weight of a sample in a service's usual latency. */
 constexpr double usual_latency_weight = 0.05;
+/** While queries queue, a second attempt must be expected to take at most this share of what the first one ran. */
+constexpr double queued_hedge_gain = 0.8;
 /** Failed attempts named in a summary. */
 constexpr int failures_named = 4;
 
@@ -40,7 +42,9 @@
     auto const chosen = choose_backend(*shard.group, shard.tried, room(request, shard), options.selection, random, now);
     if (!chosen.target) return chosen.miss;
     // A hedge at a server that may be stalled too would only add load.
-    if (reason == attempt_reason::hedge && chosen.suspect) return selection_miss::no_backend;
+    if (reason == attempt_reason::hedge && (chosen.suspect || !hedge_gains(request, shard, chosen, now))) {
+        return selection_miss::no_backend;
+    }
     bool const extra = shard.arrivals > 0;
     if (extra && !shard.group->budget.take(options.budget, vms, now)) return selection_miss::no_budget;
     submit(request, index, chosen, reason, now);
@@ -120,6 +124,26 @@
     }
 }
 
+bool dispatcher::impl::queued(request_state const& request, time_point now) const
+{
+    return request.admission != nullptr && request.admission->congested(request.via->goal, now);
+}
+
+/**
+ * While queries queue, a second attempt makes others late; it is sent only when the other backend server is much
+ * faster, so that it helps where one is slow, and not where all are. Emulated, 12 seeds, without any while queries
+ * queue: 0.951 to 0.925 of the value with slow backend servers.
+ */
+bool dispatcher::impl::hedge_gains(request_state const& request, shard_state const& shard, selection const& other,
+                                   time_point now) const
+{
+    if (!queued(request, now)) return true;
+    clock::duration longest{0};
+    for (auto const id : shard.open)
+        longest = std::max(longest, now - attempts.at(id.value()).sent);
+    return other.wait_ms < queued_hedge_gain * std::chrono::duration<double, std::milli>(longest).count();
+}
+
 void dispatcher::impl::hedge(request_state& request, std::size_t index, time_point now)
 {
     auto& shard = request.shards[index];
@@ -129,9 +153,7 @@
         if (ran > stall_factor * shard.group->usual_latency_ms) attempt.target->load.on_stalled(now);
     }
     shard.hedge_at = time_point::max();
-    // While all queue, a second attempt is late as well and makes others late.
-    bool const queued = request.admission != nullptr && request.admission->congested(now);
-    if (queued || send(request, index, attempt_reason::hedge, now) != selection_miss::none) {
+    if (send(request, index, attempt_reason::hedge, now) != selection_miss::none) {
         shard.hedge_at = now + hedge_delay(request, proximity::other_region);
     }
 }
@@ -217,7 +239,6 @@
 {
     auto& shard = request.shards[index];
     if (result.end != attempt_end::lost) --shard.runs;
-    if (result.end == attempt_end::not_executed) ++request.shed;
     if (result.end == attempt_end::not_sent) --shard.arrivals;
     if (shard.done || shard.failed || !shard.open.empty()) return;
     retry(request, index, now);
@@ -231,13 +252,15 @@
     shard.done = true;
     shard.hedge_at = shard.retry_at = time_point::max();
     ++request.done;
-    if (2 * request.done >= request.shards.size() && !request.half) {
-        request.half = std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived);
+    if (2 * request.done >= request.shards.size() && !request.half_answered) {
+        request.half_answered = true;
+        if (request.admission != nullptr) request.admission->on_half_answered(request.arrived, now);
     }
     auto const others = std::move(shard.open);
     shard.open.clear();
+    bool const observe = !queued(request, now); // While queries queue, an answer of no use only takes a slot.
     for (auto const id : others)
-        release(id, true, now);
+        release(id, observe, now);
     check_finish(request, now);
 }
 
--- a/src/routing/dispatcher_impl.hpp
+++ b/src/routing/dispatcher_impl.hpp
@@ -77,7 +77,7 @@
     /** @return whether the caller was refused before, by the time it has left. */
     bool comes_back(request_state const& request, milliseconds left);
     /** Tells admission control how a query went. */
-    void leave_admission(request_state& request, time_point now);
+    void leave_admission(request_state& request);
     /** @return the refusal for load, with the time to come back. */
     http_response return_later(request_state const& request);
 
@@ -92,6 +92,11 @@
                 time_point now);
     /** Sends the first attempt of a shard, or lets it wait for room. */
     void first_attempt(request_state& request, std::size_t index, time_point now);
+    /** @return whether queries queue at the backend servers of the request's shards. */
+    bool queued(request_state const& request, time_point now) const;
+    /** @return whether a second attempt at @p other may bring the answer sooner without making others late. */
+    bool hedge_gains(request_state const& request, shard_state const& shard, selection const& other,
+                     time_point now) const;
     /** Sends a second attempt of a slow shard, when budget and replicas allow. */
     void hedge(request_state& request, std::size_t index, time_point now);
     /** Sends a further attempt of a shard whose attempts all failed, or gives it up. */
--- a/src/routing/request_state.hpp
+++ b/src/routing/request_state.hpp
@@ -46,24 +46,23 @@
 
 /** A request not yet answered. */
 struct request_state {
-    request_key key;                               ///< Key.
-    http_request message;                          ///< As received.
-    std::string head_bytes;                        ///< Start line and forwarded headers, ready to send.
-    std::shared_ptr<serving_config const> config;  ///< Version that serves it.
-    route const* via = nullptr;                    ///< Route, inside config.
-    time_point arrived;                            ///< Arrival.
-    time_point deadline;                           ///< Final answer at the latest.
-    time_point answer_by;                          ///< A sufficient answer goes out at this time.
-    time_point due = time_point::max();            ///< Entry in the dispatcher's time list.
-    route_latencies* latencies = nullptr;          ///< Recent shard latencies of the route.
-    std::vector<shard_state> shards;               ///< Shards.
-    std::size_t done = 0;                          ///< Shards done.
-    std::size_t failed = 0;                        ///< Shards given up.
-    std::size_t needed = 1;                        ///< Shards that a success needs.
-    admission_control* admission = nullptr;        ///< Where it was admitted; null when it was not asked.
-    std::optional<std::chrono::microseconds> half; ///< When half of the shards had answered.
-    int shed = 0;                                  ///< Attempts refused for lack of room.
-    request_summary summary;                       ///< For logs.
+    request_key key;                              ///< Key.
+    http_request message;                         ///< As received.
+    std::string head_bytes;                       ///< Start line and forwarded headers, ready to send.
+    std::shared_ptr<serving_config const> config; ///< Version that serves it.
+    route const* via = nullptr;                   ///< Route, inside config.
+    time_point arrived;                           ///< Arrival.
+    time_point deadline;                          ///< Final answer at the latest.
+    time_point answer_by;                         ///< A sufficient answer goes out at this time.
+    time_point due = time_point::max();           ///< Entry in the dispatcher's time list.
+    route_latencies* latencies = nullptr;         ///< Recent shard latencies of the route.
+    std::vector<shard_state> shards;              ///< Shards.
+    std::size_t done = 0;                         ///< Shards done.
+    std::size_t failed = 0;                       ///< Shards given up.
+    std::size_t needed = 1;                       ///< Shards that a success needs.
+    admission_control* admission = nullptr;       ///< Where it was admitted; null when it was not asked.
+    bool half_answered = false;                   ///< Half of the shards have answered.
+    request_summary summary;                      ///< For logs.
     /** @return whether the route gathers shards. */
     bool gathers() const { return via->gather.has_value(); }
     /** @return whether some attempt may have run, or still may. */
--- a/tests/test_emulator.cpp
+++ b/tests/test_emulator.cpp
@@ -83,6 +83,38 @@
     CHECK(gained > 0.05);
 }
 
+TEST_CASE("emulator: under a lasting load beyond what backend servers can do, most of what they do is in time")
+{
+    // Twice and 2.5 times the usual load are 1.09 and 1.37 times what the backend servers can do. Measured over seeds 1
+    // to 12: 0.42 and 0.24 of the value with a bound on open queries, 0.57 and 0.37 with the share by measured wait.
+    std::map<double, double> const least{{2.0, 0.5}, {2.5, 0.32}};
+    for (auto const& [load, wanted] : least) {
+        CAPTURE(load);
+        double earned = 0;
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            auto deployment = rechtshilfe(load);
+            deployment.seed = seed;
+            earned += emulate(deployment).earned_share() / 4;
+        }
+        CHECK(earned > wanted);
+    }
+}
+
+TEST_CASE("emulator: seventy VMs, each of which sees few queries, refuse as well as seven")
+{
+    // At 2.5 times the usual load over seeds 1 to 4: 0.036 of the value with a bound on each VM's open queries, which
+    // cannot go below one, and 0.347 with the share by measured wait; 0.373 with seven VMs.
+    double earned = 0;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        auto many = rechtshilfe(2.5);
+        many.seed = seed;
+        many.vms = 70;
+        many.max_connections = 260;
+        earned += emulate(many).earned_share() / 4;
+    }
+    CHECK(earned > 0.28);
+}
+
 TEST_CASE("emulator: at loads that backend servers can carry, admission costs next to nothing")
 {
     // Measured over seeds 1 to 12: 0.979 without and 0.978 with it at the usual load, 0.938 and 0.943 at 1.3 times.
