Request lines name second attempts with their inputs, denied ones with the reason, and what admission went by

Cause: from a request line one could not tell why a slow shard was not asked a second time, why a backend server was chosen for one, how much of the retry budget was left, or which wait a refusal went by. Change: for requests that were refused, failed, partial or retried: extra (kind, backend server, time, expected wait, suspicion, budget left of the first four), hedges_denied and denied (reason), wait_ms and admitted_percent. Requests that went well keep their line. One test; it fails without the notes, as the fields are new.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -288,8 +288,16 @@
     milliseconds draining_last_resort{1000}; ///< A draining one may still be used so long when none else is left.
 };
 
-/** Why no backend server was chosen. */
-enum class selection_miss { none, no_backend, no_room, no_budget };
+/** Why no attempt was sent. */
+enum class selection_miss {
+    none,       ///< One was sent.
+    no_backend, ///< No backend server may get it.
+    no_room,    ///< All have as many attempts as this VM may send.
+    no_budget,  ///< The allowance of extra arrivals is used up.
+    no_gain,    ///< A hedge would not bring the answer sooner.
+};
+/** @return the name of @p miss for logs. @param miss the miss. */
+char const* to_string(selection_miss miss);
 
 /** Result of a choice. */
 struct selection {
@@ -314,6 +322,13 @@
 
 // ---- Admission ----
 
+/** What admission went by. */
+struct admission_decision {
+    bool admitted = true; ///< The query may begin.
+    double wait_ms = 0;   ///< Present wait for half of a query's shards.
+    double share = 1;     ///< Share of such queries that is let in.
+};
+
 /** A query that asks for admission. */
 struct admission_request {
     milliseconds goal{1000}; ///< Goal of its route.
@@ -333,9 +348,9 @@
  */
 class admission_control {
 public:
-    /** @return whether a query may begin; on_half_answered() or on_ended() follows. @param request query.
+    /** @return whether a query may begin, and why; on_half_answered() or on_ended() follows. @param request query.
      *  @param draw random number from 0 to 1. @param now present time. */
-    bool admit(admission_request const& request, double draw, time_point now);
+    admission_decision admit(admission_request const& request, double draw, time_point now);
     /** Half of a query's shards have answered. @param begun when it began. @param now present time. */
     void on_half_answered(time_point begun, time_point now);
     /** A query ended before half of its shards had answered. @param begun when it began. */
@@ -422,6 +437,11 @@
     std::chrono::microseconds took{0}; ///< From arrival to answer.
     int failed_attempts = 0;           ///< Attempts that failed.
     std::string failures;              ///< The first of these: backend server and reason.
+    std::string extra;                 ///< The first hedges and retries: why there, and the budget that was left.
+    int hedges_denied = 0;             ///< Hedges that were due and not sent.
+    char const* denied = "";           ///< Why the last of them was not.
+    double wait_ms = 0;                ///< Wait for half of the shards that admission went by; 0: it was not asked.
+    double admitted_share = 1;         ///< Share of such queries that it let in.
 };
 
 /** Calls of the dispatcher to the outside. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -29,6 +29,28 @@
     line.append(",\"").append(name).append("\":").append(std::to_string(value));
 }
 
+/** @return whether the inputs of a request's decisions are logged: those of one that went well are left out. */
+bool needs_details(request_summary const& summary)
+{
+    return summary.status != 200 || summary.answered < summary.shards || summary.retries > 0;
+}
+
+/** Appends what decided about a request: admission, second attempts and those denied. */
+void append_details(std::string& line, request_summary const& summary)
+{
+    if (summary.wait_ms > 0) {
+        append_number(line, "wait_ms", static_cast<std::int64_t>(summary.wait_ms));
+        append_number(line, "admitted_percent", static_cast<std::int64_t>(summary.admitted_share * 100));
+    }
+    if (!summary.extra.empty()) {
+        line += ",\"extra\":";
+        append_quoted(line, summary.extra);
+    }
+    if (summary.hedges_denied == 0) return;
+    append_number(line, "hedges_denied", summary.hedges_denied);
+    line.append(",\"denied\":\"").append(summary.denied).append("\"");
+}
+
 } // namespace
 
 bool gateway_log::allowed(quota& kind, int per_second)
@@ -71,6 +93,7 @@
         line += ",\"failures\":";
         append_quoted(line, summary.failures);
     }
+    if (needs_details(summary)) append_details(line, summary);
     if (m_left_out > 0) append_number(line, "left_out", static_cast<std::int64_t>(std::exchange(m_left_out, 0)));
     line += "}";
     LOG4CPLUS_INFO(m_logger, line);
--- a/src/routing/admission_control.cpp
+++ b/src/routing/admission_control.cpp
@@ -90,13 +90,14 @@
     return request.returning ? std::pow(admitted, returning_power) : admitted;
 }
 
-bool admission_control::admit(admission_request const& request, double draw, time_point now)
+admission_decision admission_control::admit(admission_request const& request, double draw, time_point now)
 {
     m_gap_ms += gap_weight * (std::min(ms_of(now - m_asked_at), longest_gap_ms) - m_gap_ms);
     m_asked_at = now;
-    if (draw >= share(request, now)) return false;
-    m_waiting.insert(request.begun);
-    return true;
+    admission_decision decision{true, wait_ms(now), share(request, now)};
+    decision.admitted = draw < decision.share;
+    if (decision.admitted) m_waiting.insert(request.begun);
+    return decision;
 }
 
 void admission_control::on_half_answered(time_point begun, time_point now)
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -45,6 +45,18 @@
     return "unknown";
 }
 
+char const* to_string(selection_miss miss)
+{
+    switch (miss) {
+    case selection_miss::none: return "none";
+    case selection_miss::no_backend: return "no_backend";
+    case selection_miss::no_room: return "no_room";
+    case selection_miss::no_budget: return "no_budget";
+    case selection_miss::no_gain: return "no_gain";
+    }
+    return "unknown";
+}
+
 proximity locality::to(domain_name const& other) const
 {
     if (other == domain) return proximity::same_domain;
--- a/src/routing/dispatcher_arrival.cpp
+++ b/src/routing/dispatcher_arrival.cpp
@@ -178,7 +178,10 @@
         bool const same = other.gather && other.gather->shards == request.via->gather->shards;
         if (same && other.priority < request.via->priority) asked.most_urgent = false;
     }
-    if (!control.admit(asked, std::uniform_real_distribution<double>(0, 1)(random), now)) return false;
+    auto const decision = control.admit(asked, std::uniform_real_distribution<double>(0, 1)(random), now);
+    request.summary.wait_ms = decision.wait_ms;
+    request.summary.admitted_share = decision.share;
+    if (!decision.admitted) return false;
     request.admission = &control;
     return true;
 }
--- a/src/routing/dispatcher_attempts.cpp
+++ b/src/routing/dispatcher_attempts.cpp
@@ -2,6 +2,7 @@
 #include "dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelspring {
 namespace {
@@ -20,6 +21,8 @@
 constexpr milliseconds hedge_lateness{5};
 /** Time in which the event loop reads what has arrived. */
 constexpr milliseconds read_pass{1};
+/** Hedges and retries described in a summary. */
+constexpr int extras_named = 4;
 /** Failed attempts named in a summary. */
 constexpr int failures_named = 4;
 
@@ -47,7 +50,7 @@
     if (!chosen.target) return chosen.miss;
     // A hedge at a server that may be stalled too would only add load.
     if (reason == attempt_reason::hedge && (chosen.suspect || !hedge_gains(request, shard, chosen, now))) {
-        return selection_miss::no_backend;
+        return selection_miss::no_gain;
     }
     bool const extra = shard.arrivals > 0;
     if (extra && !shard.group->budget.take(options.budget, vms, now)) return selection_miss::no_budget;
@@ -78,20 +81,35 @@
     ++shard.arrivals;
     ++shard.runs;
     ++request.summary.sent;
-    if (reason == attempt_reason::hedge) ++request.summary.hedges;
-    if (reason == attempt_reason::retry) ++request.summary.retries;
+    if (reason != attempt_reason::first) note_extra(request, *shard.group, chosen, reason, now);
     bool const may_hedge = order.repeatable && shard.runs < request.via->attempts;
     shard.hedge_postponed = false;
     shard.hedge_at = may_hedge ? now + hedge_delay(request, chosen.target->where) : time_point::max();
     hooks.send(std::move(order));
 }
 
+void dispatcher::impl::note_extra(request_state& request, service_group& group, selection const& chosen,
+                                  attempt_reason reason, time_point now)
+{
+    bool const hedged = reason == attempt_reason::hedge;
+    auto& summary = request.summary;
+    ++(hedged ? summary.hedges : summary.retries);
+    if (summary.hedges + summary.retries > extras_named) return;
+    auto const at_ms = std::chrono::duration_cast<milliseconds>(now - request.arrived).count();
+    auto const whole = [](double value) { return std::to_string(std::llround(value)); };
+    summary.extra += std::string(hedged ? "hedge:" : "retry:") + chosen.target->entry.id.value() +
+                     ":at_ms=" + std::to_string(at_ms) + ",expected_ms=" + whole(chosen.wait_ms) +
+                     ",suspect=" + (chosen.suspect ? "1" : "0") +
+                     ",budget=" + whole(group.budget.left(options.budget, vms, now)) + " ";
+}
+
 void dispatcher::impl::first_attempt(request_state& request, std::size_t index, time_point now)
 {
     switch (send(request, index, attempt_reason::first, now)) {
     case selection_miss::none: return;
     case selection_miss::no_room: wait_for_room(request, index); return;
     case selection_miss::no_budget:
+    case selection_miss::no_gain:
     case selection_miss::no_backend:
         request.shards[index].failed = true;
         ++request.failed;
@@ -169,7 +187,10 @@
         if (ran > stall_factor * shard.group->usual_latency_ms) attempt.target->load.on_stalled(now);
     }
     shard.hedge_at = time_point::max();
-    if (send(request, index, attempt_reason::hedge, now) != selection_miss::none) {
+    auto const miss = send(request, index, attempt_reason::hedge, now);
+    if (miss != selection_miss::none) {
+        ++request.summary.hedges_denied;
+        request.summary.denied = to_string(miss);
         shard.hedge_at = now + hedge_delay(request, proximity::other_region);
     }
 }
--- a/src/routing/dispatcher_impl.hpp
+++ b/src/routing/dispatcher_impl.hpp
@@ -90,6 +90,9 @@
     /** Sends an attempt to a chosen backend server. */
     void submit(request_state& request, std::size_t index, selection const& chosen, attempt_reason reason,
                 time_point now);
+    /** Notes a hedge or retry for the log: why there, and what is left of the budget. */
+    void note_extra(request_state& request, service_group& group, selection const& chosen, attempt_reason reason,
+                    time_point now);
     /** Sends the first attempt of a shard, or lets it wait for room. */
     void first_attempt(request_state& request, std::size_t index, time_point now);
     /** @return whether queries queue at the backend servers of the request's shards. */
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -24,7 +24,7 @@
         hooks.send = [this](attempt_order order) { sent.push_back(std::move(order)); };
         hooks.cancel = [this](attempt_id id) { cancelled.insert(id.value()); };
         hooks.answer = [this](request_key key, http_response response) { answers[key.value()] = std::move(response); };
-        hooks.finished = [](request_summary const&) {};
+        hooks.finished = [this](request_summary const& summary) { finished.push_back(summary); };
         requests = std::make_unique<dispatcher>(std::move(options), configs, registry, std::move(hooks), 1);
     }
 
@@ -130,6 +130,7 @@
     std::vector<attempt_order> sent;                ///< Attempts in order.
     std::set<std::uint64_t> cancelled;              ///< Attempts given up.
     std::map<std::uint64_t, http_response> answers; ///< By request key.
+    std::vector<request_summary> finished;          ///< Requests that ended.
     std::uint64_t last_key = 0;                     ///< Last key.
     std::unique_ptr<dispatcher> requests;           ///< Under test.
 };
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -336,3 +336,29 @@
     fleet.start("/gather/", "id2");
     CHECK(fleet.sent.size() == 5);
 }
+
+TEST_CASE("dispatcher: the summary of a request names its second attempts, what they went by, and those denied")
+{
+    dispatcher_options options;
+    options.budget = {0.0, 4.0,
+                      std::chrono::seconds(10)}; // One extra arrival a service: a share of 0.75 of 4 of 3 VMs.
+    dispatcher_fixture fleet(options);
+    fleet.requests->set_vms(3);
+    for (char const* id : {"id1", "id2"}) {
+        auto const before = fleet.sent.size();
+        fleet.start("/gather/x", id);
+        for (std::size_t i = before + 1; i < before + 4; ++i)
+            fleet.respond(i, 200, std::string(16, 'a'));
+        fleet.advance(300ms);
+    }
+    REQUIRE(fleet.finished.size() == 2);
+    auto const& first = fleet.finished[0];
+    CHECK(first.hedges == 1);
+    CHECK(first.extra.find("hedge:g0") == 0);
+    CHECK(first.extra.find("budget=0") != std::string::npos);
+    CHECK(first.extra.find("expected_ms=") != std::string::npos);
+    auto const& second = fleet.finished[1];
+    CHECK(second.hedges == 0);
+    CHECK(second.hedges_denied > 0);
+    CHECK(std::string(second.denied) == "no_budget");
+}
