--- /dev/null
+++ b/include/cornelspring/feed.hpp
@@ -0,0 +1,343 @@
+/**
+ * @file feed.hpp How a gateway knows the state of the platform's store: a copy of it, learned from the store or from
+ * another gateway, always with its age; and the choice of where to learn it from.
+ */
+#pragma once
+
+#include <cornelspring/routing.hpp>
+
+namespace cornelspring {
+
+// ---- Store ----
+
+/** An item of the platform's store, or its removal. */
+struct store_item {
+    std::string key;           ///< Key.
+    std::string value;         ///< Value; empty for a removal.
+    std::int64_t revision = 0; ///< Revision of the change.
+    bool removed = false;      ///< The key was removed.
+};
+
+/** A page of items or a batch of changes. */
+struct store_batch {
+    std::vector<store_item> items; ///< Items or changes, oldest first.
+    std::int64_t as_of = 0;        ///< Store revision up to which the answer is complete.
+    std::string next;              ///< Where the next page begins; empty: this is the last one.
+    milliseconds age{0};           ///< How long ago the sender knew that its copy was current; 0 for the store.
+    std::vector<std::string> path; ///< Gateways between the sender and the store, the sender's source first.
+};
+
+/** A write of one key. */
+struct store_write {
+    std::string key;        ///< Key.
+    std::string value;      ///< Value.
+    std::int64_t lease = 0; ///< Lease that keeps it.
+};
+
+/** Translates the store's calls; one for each store that is spoken. */
+struct store_codec {
+    std::string config_key;     ///< Key of the operators' configuration.
+    std::string backend_prefix; ///< Prefix of backend entries; the rest of the key is the id.
+    std::function<http_request(std::string const& prefix, std::string const& after)> read; ///< Read a prefix.
+    std::function<http_request(std::string const& prefix, std::int64_t after, milliseconds wait)>
+        watch;                                                          ///< Wait for changes.
+    std::function<http_request(std::int64_t after)> freshness;          ///< Short proof of how current the answer is.
+    std::function<http_request(std::vector<store_write> const&)> write; ///< Write keys.
+    std::function<http_request(milliseconds ttl)> grant;                ///< New lease.
+    std::function<http_request(std::int64_t lease)> renew;              ///< Renew a lease.
+    std::function<http_request(std::int64_t lease)> end_lease;          ///< End a lease.
+    std::function<store_batch(http_response const&)> parse_batch;       ///< Reads the answer of read, watch, freshness.
+    std::function<std::int64_t(http_response const&)> parse_lease;      ///< Reads the answer of grant.
+    std::function<std::shared_ptr<serving_config const>(std::string const& value)>
+        parse_config; ///< Reads a configuration.
+    std::function<backend_entry(std::string const& id, std::string const& value)> parse_backend; ///< Reads an entry.
+};
+
+// ---- Members ----
+
+/** A gateway VM as it registers itself. */
+struct gateway_member {
+    endpoint address;      ///< Where callers connect.
+    endpoint peer;         ///< Where other gateways ask for state.
+    domain_name domain;    ///< Failure domain.
+    region_name region;    ///< Region.
+    double capacity = 1;   ///< Processor cores it may use.
+    bool stopping = false; ///< It still serves, but will be gone in seconds.
+};
+/** Gateways by store key. */
+using member_map = std::map<std::string, gateway_member>;
+
+// ---- Copy ----
+
+/** A copy of the store's items, with the removals that those who follow this VM may not know yet. */
+class state_mirror {
+public:
+    /** Replaces everything. @param items all items. @param as_of revision. @return keys that are gone. */
+    std::vector<std::string> replace(std::vector<store_item> const& items, std::int64_t as_of);
+    /**
+     * Takes in changes; those older than what is known of their key are left out.
+     * @param changes changes, oldest first. @param as_of revision after them. @return the changes taken in.
+     */
+    std::vector<store_item> apply(std::vector<store_item> const& changes, std::int64_t as_of);
+    /**
+     * @return what changed after @p revision, only the newest state of each key, about page_bytes of it at most with
+     * the place where the next page begins; or nothing when some removals are no longer known. @param revision from.
+     */
+    std::optional<store_batch> changes_after(std::int64_t revision) const;
+    /** @return a page of all items that changed after @p revision, without removals. @param revision from. */
+    store_batch page_after(std::int64_t revision) const;
+    /** @return all items. */
+    std::map<std::string, store_item> const& items() const { return m_items; }
+    /** @return revision of the copy. */
+    std::int64_t as_of() const { return m_as_of; }
+
+    /**
+     * Size of a page, in bytes. A VM that returns after an outage is some thousand changes behind. With all of them in
+     * one answer, VMs with an eighth of a core and 14 Mbit/s gave up waiting each 1.9 s, began anew, and served an old
+     * configuration for 9 s more; a page takes 30 ms on that link and shows that its sender lives.
+     */
+    static constexpr std::size_t page_bytes = 48 * 1024;
+
+private:
+    /** Notes that the newest change of @p key is @p revision. */
+    void index(std::string const& key, std::int64_t revision);
+    /** @return a page from @p revision on. @param with_removals whether removals belong to it. */
+    store_batch page(std::int64_t revision, bool with_removals) const;
+
+    std::map<std::string, store_item> m_items;                  ///< By key.
+    std::map<std::string, std::int64_t> m_newest;               ///< Revision of the newest change of each key.
+    std::set<std::pair<std::int64_t, std::string>> m_by_change; ///< The same, by revision.
+    std::size_t m_removals = 0;                                 ///< Removed keys among these.
+    std::int64_t m_complete_from = 0;                           ///< All removals after this revision are known.
+    std::int64_t m_as_of = 0;                                   ///< Revision.
+};
+
+// ---- Sources ----
+
+/** Where a gateway learns the store's state from. */
+struct feed_source {
+    std::string peer_key; ///< Store key of the gateway followed; empty: the store itself.
+    endpoint address;     ///< Its address.
+    /** @return whether the store itself is read. */
+    bool is_store() const { return peer_key.empty(); }
+    /** Sources are equal when they name the same process. */
+    bool operator==(feed_source const&) const = default;
+};
+
+/** A copy older than this is no proof that its holder still hears of changes: a watch of the store is answered at least
+ *  each 1.5 s, and a slow store takes some hundred milliseconds more. */
+inline constexpr milliseconds fresh_limit{2500};
+
+/** Where a gateway is, for the choice of its source. */
+struct feed_place {
+    endpoint store;              ///< The platform's store.
+    std::string self;            ///< Store key of this VM.
+    domain_name domain;          ///< Failure domain of this VM.
+    region_name region;          ///< Its region.
+    std::vector<endpoint> seeds; ///< Gateways to ask while none is known.
+};
+
+/**
+ * Chooses where to learn the store's state from, so that the calls to the store do not grow with the number of VMs: in
+ * each failure domain the first gateway by key reads the store and the others follow it. When that source fails, a
+ * search asks several others at once, of different failure domains, more in each round. Whoever failed is remembered
+ * until it proves to be current again.
+ *
+ * With a share d of the VMs dark, of the others the share d followed one of these and searches too, so that e =
+ * 1 - (1 - d)^2 of them do not help, and a round that asks n finds nobody with probability e^n. The rounds ask 4, 8, 16
+ * and, after a pause of 0.1 s, 8: at d = 0.35 three rounds miss with e^28 = 4e-7, at d = 0.6 (e = 0.84) four with e^36
+ * = 2e-3. A source that falls silent is noticed when its answer is late (0.8 s + 0.25 s), one that answers from an old
+ * copy after 2 s, and a round takes 0.3 s: another one is found within 2.35 s, or 3.3 s.
+ */
+class feed_selector {
+public:
+    /** @param place where this VM is. @param seed random seed. */
+    feed_selector(feed_place place, std::uint64_t seed);
+    /** @return the source to watch; nothing when a search must find one. @param members live gateways. */
+    std::optional<feed_source> choose(member_map const& members) const;
+    /** @return the source of a full read: the store when it can be reached, since many full reads at once overload
+     *  the link of a small VM. @param members live gateways. */
+    std::optional<feed_source> choose_for_read(member_map const& members) const;
+    /** @return the sources to ask in one round of a search. @param members live gateways. @param round 0 for the
+     *  first. */
+    std::vector<feed_source> search_targets(member_map const& members, int round);
+    /** @return the source that this VM should use, when it failed and its pause is over: ask it for proof.
+     *  @param members live gateways. @param now present time. */
+    std::optional<feed_source> due_for_proof(member_map const& members, time_point now) const;
+    /** Notes that a source failed. @param source source. @param now present time. */
+    void on_failed(feed_source const& source, time_point now);
+    /** Notes that a search found a source. @param source source. */
+    void on_found(feed_source const& source);
+    /** Notes that a source answers. @param source source. */
+    void on_answered(feed_source const& source) { m_failed.erase(source.peer_key); }
+
+private:
+    /** A source that failed. */
+    struct failure {
+        int strikes = 0;     ///< Failures in a row.
+        time_point retry_at; ///< When it may be asked for proof.
+    };
+    /** @return whether @p source failed and has not proved to be current since. */
+    bool failed(feed_source const& source) const { return m_failed.contains(source.peer_key); }
+    /** @return the source that this VM should use. */
+    feed_source preferred(member_map const& members) const;
+    /** @return other gateways in random order, near ones first and failure domains by turns; those that failed last. */
+    std::vector<feed_source> candidates(member_map const& members);
+    /** @return whether a round of a search asks the store too. */
+    bool asks_store(member_map const& members, int round);
+
+    feed_place m_place;                      ///< Where this VM is.
+    std::mt19937_64 m_random;                ///< Order of candidates.
+    std::map<std::string, failure> m_failed; ///< Failed sources; the store has an empty key.
+    std::optional<feed_source> m_found;      ///< Found by the last search.
+};
+
+// ---- Feed ----
+
+/** What a feed asks of a source. */
+enum class feed_question {
+    read,      ///< A page of everything.
+    watch,     ///< Changes, waiting for some.
+    freshness, ///< Short proof of how current its copy is.
+};
+
+/** One call of a feed. */
+struct feed_call {
+    feed_source source;     ///< Where to.
+    feed_question question; ///< What.
+    std::string page;       ///< For a read: where the page begins.
+    std::int64_t after = 0; ///< For the others: revision that is known.
+    milliseconds wait{0};   ///< For a watch: how long the source may wait for changes.
+    milliseconds limit{0};  ///< The call fails after this.
+};
+
+/** What came back. */
+struct feed_reply {
+    int status = 0;          ///< HTTP status; 0: no answer.
+    char const* reason = ""; ///< Why there is no answer.
+    store_batch batch;       ///< The answer when status is 200.
+};
+
+/** Calls of a feed to the outside; a test plays them in virtual time. */
+struct feed_io {
+    using reply_hook = std::function<void(feed_reply)>;            ///< Receives the reply of a call, later.
+    std::function<void(feed_call, reply_hook)> call;               ///< The one call for state; ends the one before.
+    std::function<void(feed_call, reply_hook)> ask;                ///< Asks for proof; several at once.
+    std::function<time_point()> now;                               ///< Present time.
+    std::function<void(time_point, std::function<void()>)> run_at; ///< Runs a task at a time.
+};
+
+/** What a state feed reports. */
+struct feed_events {
+    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_snapshot; ///< Everything there is.
+    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_changes;  ///< Changes.
+    std::function<void(feed_source const& source, char const* reason)> on_failed;              ///< A source failed.
+    /** A source answered. @param confirmed_at when the copy was current for certain. @param path gateways between this
+     *  VM and the store, the source first. */
+    std::function<void(feed_source const& source, time_point confirmed_at, std::vector<std::string> const& path)>
+        on_answered;
+    std::function<void(bool searching)> on_search; ///< A search begins or ends: this VM has no source to vouch for.
+    std::function<member_map const&()> members;    ///< Live gateways.
+};
+
+/** Keeps a copy of the store current: a full read, then one waiting watch over all keys, from whatever source. */
+class state_feed {
+public:
+    /** @param selector choice of the source. @param io outside calls. @param events hooks. */
+    state_feed(feed_selector selector, feed_io io, feed_events events);
+    ~state_feed();
+    /** Starts reading. */
+    void start();
+    /** @return whether a full read is complete. */
+    bool synced() const;
+
+    /** Opaque state, defined in the source file. */
+    struct impl;
+
+private:
+    std::unique_ptr<impl> m_impl; ///< Calls under way.
+};
+
+// ---- Followers ----
+
+/** What another gateway asks of this one. */
+struct follower_question {
+    feed_question question = feed_question::watch; ///< What.
+    std::string from;                              ///< Store key of the gateway that asks.
+    std::int64_t after = 0;                        ///< Revision that it knows.
+    milliseconds wait{0};                          ///< For a watch: how long it waits.
+};
+
+/** What it is answered. */
+struct follower_answer {
+    int status = 200;  ///< HTTP status.
+    store_batch batch; ///< The answer when status is 200.
+};
+
+/**
+ * Answers the gateways that follow this one. A follower may follow a follower: each answer says how old the copy is,
+ * counted from the store's own answer. A watch is answered when there are changes and when the copy was confirmed, so
+ * that every follower's copy is about as young as that of the gateway that reads the store. Each answer names the
+ * gateways on the way to the store, so that no VM follows one that follows it.
+ */
+class state_publisher {
+public:
+    /** Calls to the outside. */
+    struct hooks {
+        std::function<void(request_key, follower_answer)> answer;      ///< Answers a question.
+        std::function<void(time_point, std::function<void()>)> run_at; ///< Runs a task at a time.
+        std::function<time_point()> now;                               ///< Present time.
+    };
+    /** @param mirror the copy. @param outside calls. */
+    state_publisher(state_mirror const& mirror, hooks outside) : m_mirror(mirror), m_hooks(std::move(outside)) {}
+    /** Takes in a question; it is answered now or later. @param key its key. @param asked question. */
+    void ask(request_key key, follower_question const& asked);
+    /** The one who asked has left. @param key question. */
+    void forget(request_key key);
+    /** The copy was confirmed. @param source by whom. @param confirmed_at when it was current for certain.
+     *  @param path gateways between this VM and the store. */
+    void on_confirmed(feed_source const& source, time_point confirmed_at, std::vector<std::string> path);
+    /** While this VM searches a source it gives no proof of freshness: others that search must not end up here.
+     *  @param searching whether it searches. */
+    void set_searching(bool searching) { m_searching = searching; }
+    /** @return by whom the copy was confirmed last; nothing before a full read. */
+    std::optional<feed_source> const& source() const { return m_source; }
+    /** @return how long ago the copy was current for certain. */
+    milliseconds age() const;
+
+private:
+    /** A follower that waits for changes. */
+    struct pending_watch {
+        request_key key;        ///< Its question.
+        std::int64_t after = 0; ///< Revision up to which it knows.
+    };
+    /** @return @p batch with the age of the copy. */
+    follower_answer dated(store_batch batch) const;
+    /** @return that nothing has changed. */
+    follower_answer unchanged() const;
+
+    state_mirror const& m_mirror;         ///< Copy.
+    hooks m_hooks;                        ///< Outside calls.
+    std::optional<feed_source> m_source;  ///< Confirmed the copy last.
+    time_point m_confirmed_at;            ///< When the copy was current for certain.
+    std::vector<std::string> m_path;      ///< Gateways between this VM and the store.
+    bool m_searching = false;             ///< This VM searches a source.
+    std::vector<pending_watch> m_watches; ///< Followers that wait.
+};
+
+// ---- Calls between gateways ----
+
+/** @return the calls of one gateway to another, which mirror those to the store. @param self store key of the caller.
+ */
+store_codec make_peer_codec(std::string self);
+/** Paths by which gateways ask each other, and the header that names the one that asks. */
+namespace peer_paths {
+inline constexpr char const* state = "/v1/state";         ///< Everything, by pages.
+inline constexpr char const* changes = "/v1/changes";     ///< Changes after a revision; waits for some.
+inline constexpr char const* freshness = "/v1/freshness"; ///< Revision and age of the copy.
+inline constexpr char const* from = "from-gateway";       ///< Header: store key of the gateway that asks.
+} // namespace peer_paths
+/** @return a batch as the body that make_peer_codec() reads. @param batch batch. */
+std::string encode_peer_batch(store_batch const& batch);
+
+} // namespace cornelspring
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include <cornelspring/routing.hpp>
+#include <cornelspring/feed.hpp>
 
 namespace cornelspring {
 
@@ -152,59 +152,8 @@
     std::unique_ptr<impl> m_impl; ///< Connections.
 };
 
-// ---- Store ----
+// ---- Members ----
 
-/** An item of the platform's store, or its removal. */
-struct store_item {
-    std::string key;           ///< Key.
-    std::string value;         ///< Value; empty for a removal.
-    std::int64_t revision = 0; ///< Revision of the change.
-    bool removed = false;      ///< The key was removed.
-};
-
-/** A page of items or a batch of changes. */
-struct store_batch {
-    std::vector<store_item> items; ///< Items or changes, oldest first.
-    std::int64_t as_of = 0;        ///< Store revision of the answer.
-    bool more = false;             ///< Another page follows.
-};
-
-/** A write of one key. */
-struct store_write {
-    std::string key;        ///< Key.
-    std::string value;      ///< Value.
-    std::int64_t lease = 0; ///< Lease that keeps it.
-};
-
-/** Translates the store's calls; one for each store that is spoken. */
-struct store_codec {
-    std::string config_key;     ///< Key of the operators' configuration.
-    std::string backend_prefix; ///< Prefix of backend entries; the rest of the key is the id.
-    std::function<http_request(std::string const& prefix, std::string const& after)> read; ///< Read a prefix.
-    std::function<http_request(std::string const& prefix, std::int64_t after, milliseconds wait)>
-        watch;                                                          ///< Wait for changes.
-    std::function<http_request(std::vector<store_write> const&)> write; ///< Write keys.
-    std::function<http_request(milliseconds ttl)> grant;                ///< New lease.
-    std::function<http_request(std::int64_t lease)> renew;              ///< Renew a lease.
-    std::function<http_request(std::int64_t lease)> end_lease;          ///< End a lease.
-    std::function<store_batch(http_response const&)> parse_batch;       ///< Reads the answer of read and watch.
-    std::function<std::int64_t(http_response const&)> parse_lease;      ///< Reads the answer of grant.
-    std::function<std::shared_ptr<serving_config const>(std::string const& value)>
-        parse_config; ///< Reads a configuration.
-    std::function<backend_entry(std::string const& id, std::string const& value)> parse_backend; ///< Reads an entry.
-};
-
-/** A gateway VM as it registers itself. */
-struct gateway_member {
-    endpoint address;      ///< Where callers connect.
-    endpoint peer;         ///< Where other gateways ask for state.
-    domain_name domain;    ///< Failure domain.
-    region_name region;    ///< Region.
-    double capacity = 1;   ///< Processor cores it may use.
-    bool stopping = false; ///< It still serves, but will be gone in seconds.
-};
-/** Gateways by store key. */
-using member_map = std::map<std::string, gateway_member>;
 /** @return a member as the value of its store key. @param member member. */
 std::string encode_member(gateway_member const& member);
 /** @return the member in @p value. @param value store value. @throw error bad_request when malformed. */
@@ -252,98 +201,7 @@
     std::function<std::pair<region_name, domain_name>(std::string const& target)> decode_place;
 };
 
-// ---- State of the platform's store ----
-
-/** A copy of the store's items, with the latest changes for those who follow this VM. */
-class state_mirror {
-public:
-    /** Replaces everything. @param items all items. @param as_of revision. @return keys that are gone. */
-    std::vector<std::string> replace(std::vector<store_item> const& items, std::int64_t as_of);
-    /** Takes in changes. @param changes changes, oldest first. @param as_of revision after them. */
-    void apply(std::vector<store_item> const& changes, std::int64_t as_of);
-    /** @return the changes after @p revision, or nothing when some of them are no longer kept. @param revision from. */
-    std::optional<std::vector<store_item>> changes_after(std::int64_t revision) const;
-    /** @return all items. */
-    std::map<std::string, store_item> const& items() const { return m_items; }
-    /** @return revision of the copy. */
-    std::int64_t as_of() const { return m_as_of; }
-
-private:
-    std::map<std::string, store_item> m_items; ///< By key.
-    std::deque<store_item> m_changes;          ///< Latest changes, oldest first.
-    std::int64_t m_complete_from = 0;          ///< All changes after this revision are in m_changes.
-    std::int64_t m_as_of = 0;                  ///< Revision.
-};
-
-/** Where a gateway learns the store's state from. */
-struct feed_source {
-    std::string peer_key; ///< Store key of the gateway followed; empty: the store itself.
-    endpoint address;     ///< Its address.
-    /** @return whether the store itself is read. */
-    bool is_store() const { return peer_key.empty(); }
-    /** Sources are equal when they name the same process. */
-    bool operator==(feed_source const&) const = default;
-};
-
-/**
- * Chooses where to learn the store's state from, so that the calls to the store do not grow with the number of VMs:
- * in each failure domain the first gateway by key reads the store and the others follow it. One that fails is left
- * out for a while.
- */
-class feed_selector {
-public:
-    /** @param store address of the store. @param self key of this VM. @param domain its failure domain.
-     *  @param seeds gateways to ask when the store cannot be reached and no gateway is known. */
-    feed_selector(endpoint store, std::string self, domain_name domain, std::vector<endpoint> seeds);
-    /** @return the source to watch. @param members live gateways. @param now present time. */
-    feed_source choose(member_map const& members, time_point now) const;
-    /** @return the source of a full read: the store when it can be reached, since many full reads at once overload
-     *  the link of a small VM. @param members live gateways. @param now present time. */
-    feed_source choose_for_read(member_map const& members, time_point now) const;
-    /** Notes that a source failed. @param source source. @param now present time. */
-    void on_failed(feed_source const& source, time_point now);
-    /** Notes that a source answers. @param source source. */
-    void on_answered(feed_source const& source) { m_avoid_until.erase(source.peer_key); }
-
-private:
-    /** @return whether the source @p key failed lately. */
-    bool avoided(std::string const& key, time_point now) const;
-    /** @return how many gateways failed lately. */
-    std::size_t avoided_peers(time_point now) const;
-    endpoint m_store;                                ///< Store.
-    std::string m_self;                              ///< This VM.
-    domain_name m_domain;                            ///< Its failure domain.
-    std::vector<endpoint> m_seeds;                   ///< Asked when nothing else is known.
-    std::map<std::string, time_point> m_avoid_until; ///< Failed sources; the store has an empty key.
-};
-
-/** What a state feed reports. */
-struct feed_events {
-    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_snapshot; ///< Everything there is.
-    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_changes;  ///< Changes.
-    std::function<void(feed_source const& source, char const* reason)> on_failed; ///< A call failed; choose again.
-    std::function<void(feed_source const& source)> on_answered;                   ///< A call succeeded.
-    std::function<feed_source()> choose;                                          ///< Source of the next watch.
-    std::function<feed_source()> choose_for_read;                                 ///< Source of a full read.
-};
-
-/** Keeps a copy of the store current: a full read, then one waiting watch over all keys, from whatever source. */
-class state_feed {
-public:
-    /** @param loop event loop. @param store store calls. @param peer calls to another gateway. @param events hooks. */
-    state_feed(event_loop& loop, store_codec const& store, store_codec const& peer, feed_events events);
-    ~state_feed();
-    /** Starts reading. */
-    void start();
-    /** @return whether a full read is complete. */
-    bool synced() const;
-
-    /** Opaque state, defined in the source file. */
-    struct impl;
-
-private:
-    std::unique_ptr<impl> m_impl; ///< Connection and timers.
-};
+// ---- Registration ----
 
 /** Keeps one key of this VM in the store under a lease. */
 class registration {
@@ -367,16 +225,6 @@
     std::unique_ptr<impl> m_impl; ///< Connection and timers.
 };
 
-/** @return the calls of one gateway to another, which mirror those to the store. */
-store_codec make_peer_codec();
-/** Paths by which gateways ask each other. */
-namespace peer_paths {
-inline constexpr char const* state = "/v1/state";     ///< Everything.
-inline constexpr char const* changes = "/v1/changes"; ///< Changes after a revision; waits for some.
-} // namespace peer_paths
-/** @return a batch as the body that make_peer_codec() reads. @param items items or changes. @param as_of revision. */
-std::string encode_peer_batch(std::vector<store_item> const& items, std::int64_t as_of);
-
 /** The gateway process. */
 class gateway {
 public:
--- /dev/null
+++ b/src/feed/feed_selector.cpp
@@ -0,0 +1,140 @@
+/** @file feed_selector.cpp Where to learn the store's state from. */
+#include <cornelspring/feed.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+namespace {
+
+/** Sources asked in the first round of a search. */
+constexpr std::size_t first_asks = 4;
+/** Sources asked in each round after the quick ones: by then the store is probably down for all, and questions cost a
+ * VM with an eighth of a core time that its callers need. */
+constexpr std::size_t later_asks = 8;
+/** Each further quick round asks twice as many: with 60 % of the VMs dark, 4, 8 and 16 are all dark in 6 of 10 million
+ *  searches. */
+constexpr int quick_rounds = 3;
+/** A gateway that need not read the store asks it from this round on: two rounds found nobody. */
+constexpr int store_round = 2;
+/** Of the gateways of one failure domain, so many ask the store in such a round: when it is down for all, calls to it
+ *  must not grow with the number of VMs. */
+constexpr double store_askers = 3;
+/** A source that failed is asked for proof after this: a VM that restarts needs about as long to be current again. */
+constexpr std::chrono::seconds first_pause{3};
+/** Most doublings of that pause: one that stays dark is asked each 12 s. */
+constexpr int most_doublings = 2;
+
+/** @return how far @p member is, for the order in which it is asked. */
+int distance(gateway_member const& member, feed_place const& place)
+{
+    if (member.domain == place.domain) return 0;
+    return member.region == place.region ? 1 : 2;
+}
+
+} // namespace
+
+feed_selector::feed_selector(feed_place place, std::uint64_t seed) : m_place(std::move(place)), m_random(seed) {}
+
+void feed_selector::on_failed(feed_source const& source, time_point now)
+{
+    auto& known = m_failed[source.peer_key];
+    known.retry_at = now + first_pause * (1 << std::min(known.strikes, most_doublings));
+    ++known.strikes;
+    if (m_found == source) m_found.reset();
+}
+
+void feed_selector::on_found(feed_source const& source)
+{
+    m_failed.erase(source.peer_key);
+    m_found = source;
+}
+
+/** The first of its failure domain reads the store, the others follow it. */
+feed_source feed_selector::preferred(member_map const& members) const
+{
+    for (auto const& [key, member] : members) {
+        if (key == m_place.self) break;
+        if (member.domain == m_place.domain && !member.stopping) return {key, member.peer};
+    }
+    return {"", m_place.store};
+}
+
+std::optional<feed_source> feed_selector::choose(member_map const& members) const
+{
+    auto const first = preferred(members);
+    if (!failed(first)) return first;
+    if (!m_found || failed(*m_found)) return std::nullopt;
+    if (m_found->is_store()) return m_found;
+    auto const known = members.find(m_found->peer_key);
+    bool const usable = known == members.end() ? members.empty() : !known->second.stopping;
+    return usable ? m_found : std::nullopt;
+}
+
+std::optional<feed_source> feed_selector::choose_for_read(member_map const& members) const
+{
+    feed_source const store{"", m_place.store};
+    return failed(store) ? choose(members) : store;
+}
+
+std::optional<feed_source> feed_selector::due_for_proof(member_map const& members, time_point now) const
+{
+    auto const first = preferred(members);
+    auto const found = m_failed.find(first.peer_key);
+    if (found == m_failed.end() || now < found->second.retry_at) return std::nullopt;
+    return first;
+}
+
+std::vector<feed_source> feed_selector::candidates(member_map const& members)
+{
+    /** A gateway with its place in the order. */
+    struct ranked {
+        bool failed;        ///< Failed ones come last.
+        std::size_t turn;   ///< Its number within its failure domain: domains take turns.
+        int distance;       ///< Near ones first.
+        feed_source source; ///< Gateway.
+    };
+    std::vector<member_map::const_iterator> shuffled;
+    for (auto each = members.begin(); each != members.end(); ++each) {
+        if (each->first != m_place.self && !each->second.stopping) shuffled.push_back(each);
+    }
+    std::shuffle(shuffled.begin(), shuffled.end(), m_random);
+    std::map<domain_name, std::size_t> live_turns;
+    std::vector<ranked> order;
+    for (auto const& each : shuffled) {
+        feed_source const source{each->first, each->second.peer};
+        bool const bad = failed(source);
+        auto const turn = bad ? 0 : live_turns[each->second.domain]++;
+        order.push_back({bad, turn, distance(each->second, m_place), source});
+    }
+    std::stable_sort(order.begin(), order.end(), [](ranked const& left, ranked const& right) {
+        return std::tie(left.failed, left.turn, left.distance) < std::tie(right.failed, right.turn, right.distance);
+    });
+    std::vector<feed_source> found;
+    for (auto& each : order)
+        found.push_back(std::move(each.source));
+    return found;
+}
+
+bool feed_selector::asks_store(member_map const& members, int round)
+{
+    if (preferred(members).is_store()) return true;
+    if (round < store_round) return false;
+    auto const neighbours = static_cast<double>(std::count_if(
+        members.begin(), members.end(), [this](auto const& each) { return each.second.domain == m_place.domain; }));
+    return std::uniform_real_distribution<double>(0, neighbours)(m_random) < store_askers;
+}
+
+std::vector<feed_source> feed_selector::search_targets(member_map const& members, int round)
+{
+    auto targets = candidates(members);
+    if (targets.empty()) {
+        for (auto const& seed : m_place.seeds)
+            targets.push_back({"seed " + seed.to_string(), seed});
+    }
+    auto const wanted = round < quick_rounds ? first_asks << round : later_asks;
+    targets.resize(std::min(targets.size(), wanted));
+    if (asks_store(members, round)) targets.push_back({"", m_place.store});
+    return targets;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/gateway/feed_calls.cpp
@@ -0,0 +1,61 @@
+/** @file feed_calls.cpp The calls of a state feed over connections to the store and to other gateways. */
+#include "feed_calls.hpp"
+
+namespace cornelspring {
+
+feed_calls::feed_calls(event_loop& loop, store_codec const& store, store_codec const& peer)
+    : m_loop(loop), m_store(store), m_peer(peer), m_channel(loop)
+{
+}
+
+feed_io feed_calls::io()
+{
+    feed_io made;
+    made.call = [this](feed_call const& call, feed_io::reply_hook const& done) {
+        m_channel.call(call.source.address, request_of(call), call.limit,
+                       [this, call, done](exchange_result const& result) { done(reply_of(call, result)); });
+    };
+    made.ask = [this](feed_call call, feed_io::reply_hook done) { ask(std::move(call), std::move(done)); };
+    made.now = [this] { return m_loop.now(); };
+    made.run_at = [this](time_point when, std::function<void()> task) { m_loop.run_at(when, std::move(task)); };
+    return made;
+}
+
+http_request feed_calls::request_of(feed_call const& call) const
+{
+    auto const& translate = codec(call.source);
+    switch (call.question) {
+    case feed_question::read: return translate.read("", call.page);
+    case feed_question::watch: return translate.watch("", call.after, call.wait);
+    case feed_question::freshness: break;
+    }
+    return translate.freshness(call.after);
+}
+
+feed_reply feed_calls::reply_of(feed_call const& call, exchange_result const& result) const
+{
+    if (!result.answered) return {0, result.detail, {}};
+    if (result.response.status != 200) return {result.response.status, "", {}};
+    try {
+        return {200, "", codec(call.source).parse_batch(result.response)};
+    } catch (std::exception const&) {
+        return {0, "malformed answer", {}}; // Logged by the feed as the reason why the source failed.
+    }
+}
+
+void feed_calls::ask(feed_call call, feed_io::reply_hook done)
+{
+    auto const number = ++m_last_ask;
+    auto& channel = m_asks[number] = std::make_unique<store_channel>(m_loop);
+    auto const address = call.source.address;
+    auto const limit = call.limit;
+    auto request = request_of(call);
+    channel->call(address, std::move(request), limit,
+                  [this, number, call = std::move(call), done = std::move(done)](exchange_result const& result) {
+                      auto const reply = reply_of(call, result);
+                      m_asks.erase(number);
+                      done(reply);
+                  });
+}
+
+} // namespace cornelspring
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,7 +30,7 @@
     hooks.answer = [this](request_key key, http_response response) { callers->answer(key, std::move(response)); };
     hooks.finished = [this](request_summary const& summary) {
         metrics.on_request(summary);
-        log.on_request(summary, std::chrono::duration_cast<milliseconds>(loop.now() - confirmed_at));
+        log.on_request(summary, followers.age());
     };
     requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, std::move(hooks), random());
     requests->set_vms(least_vms);
@@ -41,7 +41,7 @@
     caller_server::hooks hooks;
     hooks.on_request = [this](caller_request request) { on_request(std::move(request)); };
     hooks.on_gone = [this](request_key key) {
-        std::erase_if(polls, [key](pending_poll const& poll) { return poll.key == key; });
+        followers.forget(key);
         requests->caller_gone(key, loop.now());
         wake_dispatcher();
     };
@@ -100,8 +100,8 @@
         response.status = ready() ? 200 : 503;
     } else if (path == settings.addresses_path) {
         response = addresses(request.path);
-    } else if (path == peer_paths::state || path == peer_paths::changes) {
-        on_state_poll(key, request);
+    } else if (path == peer_paths::state || path == peer_paths::changes || path == peer_paths::freshness) {
+        on_follower(key, request);
         return;
     } else if (path == settings.metrics_path) {
         metrics.set_state(requests->open_requests(), callers->connections(), pool->connections_opened());
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -1,6 +1,7 @@
 /** @file gateway_impl.hpp State of the gateway process, shared by its source files (internal). */
 #pragma once
 
+#include "feed_calls.hpp"
 #include "gateway_log.hpp"
 #include "gateway_metrics.hpp"
 
@@ -13,12 +14,6 @@
 /** Gateways assumed to share the budgets before the others are known. */
 inline constexpr std::size_t least_vms = 3;
 
-/** A follower that waits for changes. */
-struct pending_poll {
-    request_key key;        ///< Its request.
-    std::int64_t after = 0; ///< Revision up to which it knows.
-};
-
 /** State of the gateway. */
 struct gateway::impl {
     gateway_settings settings;                      ///< Settings.
@@ -29,18 +24,16 @@
     member_map members;                             ///< Gateways.
     std::set<std::string> active;                   ///< Gateways that callers are sent to.
     state_mirror mirror;                            ///< Copy of the store.
-    feed_selector sources;                          ///< Chooses where to read it from.
     bool store_up = false;                          ///< The last call to the store succeeded.
     time_point store_lost_at;                       ///< When its calls began to fail.
-    std::optional<feed_source> fed_by;              ///< Source of the last successful read or watch.
-    time_point confirmed_at;                        ///< When a source last confirmed that the copy is current.
-    std::vector<pending_poll> polls;                ///< Followers that wait for changes.
+    state_publisher followers;                      ///< Answers the gateways that follow this one.
     gateway_metrics metrics;                        ///< Counters.
     gateway_log log;                                ///< Decision log.
     std::unique_ptr<dispatcher> requests;           ///< Decisions on requests.
     std::unique_ptr<backend_pool> pool;             ///< Connections to backend servers.
     std::unique_ptr<caller_server> callers;         ///< Connections of callers.
-    store_codec peer_codec = make_peer_codec();     ///< Calls to other gateways.
+    store_codec peer_codec;                         ///< Calls to other gateways.
+    feed_calls source_calls;                        ///< Calls of the feed.
     std::unique_ptr<state_feed> feed;               ///< Keeps the copy of the store current.
     std::unique_ptr<registration> registered;       ///< This VM's key in the store.
     std::mt19937_64 random{std::random_device{}()}; ///< Order of address answers.
@@ -52,7 +45,8 @@
 
     impl(gateway_settings s, store_codec c)
         : settings(std::move(s)), codec(std::move(c)), registry(settings.place, lapse_grace),
-          sources(settings.store, member_key(), settings.place.domain, settings.seeds), log(loop)
+          followers(mirror, follower_hooks()), log(loop), peer_codec(make_peer_codec(member_key())),
+          source_calls(loop, codec, peer_codec)
     {
         make_dispatcher();
         make_callers();
@@ -81,14 +75,10 @@
     /** @return the answer to an address question. */
     http_response addresses(std::string const& target);
 
-    /** Answers another gateway that asks for the copy of the store or its changes. */
-    void on_state_poll(request_key key, http_request const& request);
-    /** Lets a follower wait until there are changes. */
-    void hold_poll(request_key key, std::int64_t after, milliseconds wait);
-    /** Answers the followers that wait. */
-    void answer_polls();
-    /** @return whether the copy comes from the store itself, and the store answers. */
-    bool reads_store() const { return store_up && fed_by && fed_by->is_store(); }
+    /** @return how the gateways that follow this one are answered. */
+    state_publisher::hooks follower_hooks();
+    /** Takes in what another gateway asks of the copy of the store. */
+    void on_follower(request_key key, http_request const& request);
 
     /** Notes whether a call to the store succeeded. */
     void on_store_call(bool ok);
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -109,13 +109,14 @@
     write({{"event", "dependency"}, {"name", name}, {"change", change}, {"outage_ms", outage.count()}});
 }
 
-void gateway_log::source(feed_source const& source, char const* change, char const* reason)
+void gateway_log::source(feed_source const& source, char const* change, char const* reason, milliseconds state_age)
 {
     if (!allowed(m_sources, source_lines)) return;
     write({{"event", "state_source"},
            {"source", source.is_store() ? "store" : source.peer_key},
            {"change", change},
-           {"reason", reason}});
+           {"reason", reason},
+           {"state_age_ms", state_age.count()}});
 }
 
 void gateway_log::bad_item(std::string const& key, std::int64_t revision, char const* reason)
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -18,8 +18,8 @@
     /** A dependency was lost or regained. @param name which. @param change lost or regained. @param outage length. */
     void dependency(char const* name, char const* change, milliseconds outage);
     /** The source of the store's state changed or failed. @param source which. @param change used or failed.
-     *  @param reason why. */
-    void source(feed_source const& source, char const* change, char const* reason);
+     *  @param reason why. @param state_age how long ago the copy of that state was current for certain. */
+    void source(feed_source const& source, char const* change, char const* reason, milliseconds state_age);
     /** A store item cannot be read. @param key its key. @param revision its revision. @param reason why. */
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -10,9 +10,6 @@
 
 /** Connections of a backend server for each active gateway, those left free for restarts included. */
 constexpr double connections_per_gateway = 3.3;
-/** Longest a follower may wait for changes. */
-constexpr milliseconds longest_poll{5000};
-
 /** @return the number given as @p name in the query of @p target. */
 std::optional<std::int64_t> query_number(std::string const& target, std::string const& name)
 {
@@ -32,20 +29,19 @@
     events.on_snapshot = [this](auto const& items, std::int64_t as_of) { on_snapshot(items, as_of); };
     events.on_changes = [this](auto const& items, std::int64_t as_of) { on_changes(items, as_of); };
     events.on_failed = [this](feed_source const& source, char const* reason) {
-        log.source(source, "failed", reason);
-        sources.on_failed(source, loop.now());
+        log.source(source, "failed", reason, followers.age());
         if (source.is_store()) on_store_call(false);
     };
-    events.on_answered = [this](feed_source const& source) {
-        if (fed_by != source) log.source(source, "used", "");
-        fed_by = source;
-        confirmed_at = loop.now();
-        sources.on_answered(source);
+    events.on_answered = [this](feed_source const& source, time_point confirmed_at, auto const& path) {
+        bool const other = followers.source() != source;
+        followers.on_confirmed(source, confirmed_at, path);
+        if (other) log.source(source, "used", "", followers.age());
         if (source.is_store()) on_store_call(true);
     };
-    events.choose = [this] { return sources.choose(members, loop.now()); };
-    events.choose_for_read = [this] { return sources.choose_for_read(members, loop.now()); };
-    feed = std::make_unique<state_feed>(loop, codec, peer_codec, std::move(events));
+    events.on_search = [this](bool searching) { followers.set_searching(searching); };
+    events.members = [this]() -> member_map const& { return members; };
+    feed_place const place{settings.store, member_key(), settings.place.domain, settings.place.region, settings.seeds};
+    feed = std::make_unique<state_feed>(feed_selector(place, random()), source_calls.io(), std::move(events));
     registered = std::make_unique<registration>(loop, settings.store, codec, settings.lease_ttl,
                                                 [this](bool ok) { on_store_call(ok); });
 }
@@ -58,7 +54,6 @@
     if (!ok) {
         store_lost_at = loop.now();
         log.dependency("store", "lost", milliseconds(0));
-        answer_polls();
         return;
     }
     bool const first = store_lost_at == time_point{};
@@ -71,50 +66,31 @@
 
 // ---- Followers ----
 
-void gateway::impl::on_state_poll(request_key key, http_request const& request)
-{
-    http_response response;
-    auto const after = query_number(request.path, "after");
-    if (!feed->synced() || (after && !reads_store())) {
-        response.status = 503; // A follower must not follow a follower: its copy could be old without either knowing.
-    } else if (!after) {
-        std::vector<store_item> items;
-        for (auto const& [name, item] : mirror.items())
-            items.push_back(item);
-        response.body = encode_peer_batch(items, mirror.as_of());
-    } else if (auto const changes = mirror.changes_after(*after); !changes) {
-        response.status = 410;
-    } else if (!changes->empty()) {
-        response.body = encode_peer_batch(*changes, mirror.as_of());
-    } else {
-        hold_poll(key, *after, milliseconds(query_number(request.path, "wait_ms").value_or(0)));
-        return;
-    }
-    callers->answer(key, std::move(response));
-}
-
-void gateway::impl::hold_poll(request_key key, std::int64_t after, milliseconds wait)
+state_publisher::hooks gateway::impl::follower_hooks()
 {
-    polls.push_back({key, after});
-    loop.run_at(loop.now() + std::min(wait, longest_poll), [this, key] {
-        if (std::erase_if(polls, [key](pending_poll const& each) { return each.key == key; }) == 0) return;
-        http_response nothing;
-        nothing.body = encode_peer_batch({}, mirror.as_of());
-        callers->answer(key, std::move(nothing));
-    });
+    state_publisher::hooks hooks;
+    hooks.answer = [this](request_key key, follower_answer const& answer) {
+        http_response response;
+        response.status = answer.status;
+        if (answer.status == 200) response.body = encode_peer_batch(answer.batch);
+        callers->answer(key, std::move(response));
+    };
+    hooks.run_at = [this](time_point when, std::function<void()> task) { loop.run_at(when, std::move(task)); };
+    hooks.now = [this] { return loop.now(); };
+    return hooks;
 }
 
-/** Answers the followers that wait: there are changes, or this VM cannot vouch for its copy any more. */
-void gateway::impl::answer_polls()
+void gateway::impl::on_follower(request_key key, http_request const& request)
 {
-    auto const waiting = std::exchange(polls, {});
-    for (auto const& poll : waiting) {
-        http_response response;
-        auto const changes = reads_store() ? mirror.changes_after(poll.after) : std::nullopt;
-        response.status = changes ? 200 : 503;
-        if (changes) response.body = encode_peer_batch(*changes, mirror.as_of());
-        callers->answer(poll.key, std::move(response));
-    }
+    auto const path = request.path.substr(0, request.path.find('?'));
+    follower_question asked;
+    asked.question = path == peer_paths::state       ? feed_question::read
+                     : path == peer_paths::freshness ? feed_question::freshness
+                                                     : feed_question::watch;
+    asked.from = request.header(peer_paths::from);
+    asked.after = query_number(request.path, "after").value_or(0);
+    asked.wait = milliseconds(query_number(request.path, "wait_ms").value_or(0));
+    followers.ask(key, asked);
 }
 
 // ---- Store ----
@@ -127,17 +103,14 @@
     for (auto const& key : gone)
         on_item({key, {}, as_of, true});
     refresh_members();
-    answer_polls();
     if (settings.caller_address) registered->set(member_key(), encode_member(self()));
 }
 
 void gateway::impl::on_changes(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    mirror.apply(items, as_of);
-    for (auto const& item : items)
+    for (auto const& item : mirror.apply(items, as_of))
         on_item(item);
     refresh_members();
-    answer_polls();
 }
 
 void gateway::impl::refresh_members()
--- /dev/null
+++ b/tests/feed_fleet.cpp
@@ -0,0 +1,296 @@
+/** @file feed_fleet.cpp Gateways that learn the store's state, in virtual time. */
+#include "feed_fleet.hpp"
+
+#include <algorithm>
+
+namespace cornelspring::testing {
+namespace {
+
+/** Time an answer of the store takes. */
+constexpr milliseconds store_time{4};
+/** One way between regions, between failure domains of a region, and within one. */
+constexpr std::chrono::microseconds way[] = {std::chrono::microseconds(100), std::chrono::microseconds(1400),
+                                             std::chrono::microseconds(12000)};
+/** Longest turn of a process that waits for its share of a core. */
+constexpr int longest_turn_ms = 60;
+/** An item costs its receiver so many times as much as its sender. */
+constexpr int receiver_factor = 6;
+
+} // namespace
+
+/** One gateway. */
+struct feed_fleet::vm_state {
+    std::string key;                                                  ///< Store key.
+    domain_name domain;                                               ///< Failure domain.
+    region_name region;                                               ///< Region.
+    state_mirror mirror;                                              ///< Its copy.
+    std::unique_ptr<state_publisher> publisher;                       ///< Answers others.
+    std::map<std::uint64_t, std::function<void(feed_reply)>> waiting; ///< Questions of others by key.
+    std::unique_ptr<state_feed> feed;                                 ///< Its feed.
+    darkness dark = darkness::none;                                   ///< For everybody.
+    darkness store_dark = darkness::none;                             ///< At the store.
+    std::uint64_t call = 0;                                           ///< Present call for state.
+    time_point busy_until;                                            ///< End of the work that it has.
+};
+
+feed_fleet::feed_fleet(int vms, int domains, std::uint64_t seed) : m_random(seed)
+{
+    m_store.replace({}, m_revision);
+    for (int i = 0; i < vms; ++i) {
+        m_vms.push_back(std::make_unique<vm_state>());
+        auto& vm = *m_vms.back();
+        auto number = std::to_string(1000 + i);
+        vm.key = "g/" + number;
+        vm.domain = domain_name("d" + std::to_string(i % domains));
+        vm.region = region_name("r" + std::to_string(i % domains / 2));
+        m_members[vm.key] = {{}, {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)}, vm.domain, vm.region, 1, false};
+    }
+    for (int i = 0; i < vms; ++i) {
+        auto& vm = *m_vms[static_cast<std::size_t>(i)];
+        state_publisher::hooks hooks;
+        hooks.answer = [&vm](request_key key, follower_answer answer) {
+            auto const found = vm.waiting.find(key.value());
+            if (found == vm.waiting.end()) return;
+            auto const reply = std::move(found->second);
+            vm.waiting.erase(found);
+            reply({answer.status, "", std::move(answer.batch)});
+        };
+        hooks.run_at = [this](time_point when, std::function<void()> task) { m_tasks.emplace(when, std::move(task)); };
+        hooks.now = [this] { return m_now; };
+        vm.publisher = std::make_unique<state_publisher>(vm.mirror, std::move(hooks));
+        feed_io io;
+        io.call = [this, i, &vm](feed_call const& call, feed_io::reply_hook const& done) {
+            auto const number = ++vm.call;
+            deliver(i, call, [&vm, number, done](feed_reply reply) {
+                if (number == vm.call) done(std::move(reply));
+            });
+        };
+        io.ask = [this, i](feed_call const& call, feed_io::reply_hook const& done) { deliver(i, call, done); };
+        io.now = [this] { return m_now; };
+        io.run_at = [this](time_point when, std::function<void()> task) {
+            m_tasks.emplace(std::max(when, m_now), std::move(task));
+        };
+        feed_events events;
+        events.on_snapshot = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.replace(items, as_of); };
+        events.on_changes = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.apply(items, as_of); };
+        events.on_failed = [&vm, this](feed_source const& s, char const* r) {
+            if (getenv("FEED_TRACE"))
+                printf("%lld %s failed %s: %s\n",
+                       (long long)std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count(),
+                       vm.key.c_str(), s.peer_key.c_str(), r);
+        };
+        events.on_answered = [&vm](feed_source const& source, time_point at, auto const& path) {
+            vm.publisher->on_confirmed(source, at, path);
+        };
+        events.on_search = [&vm](bool searching) { vm.publisher->set_searching(searching); };
+        events.members = [this]() -> member_map const& { return m_members; };
+        feed_place const place{{"10.9.9.9", 1}, vm.key, vm.domain, vm.region, {}};
+        vm.feed = std::make_unique<state_feed>(feed_selector(place, m_random()), std::move(io), std::move(events));
+        vm.feed->start();
+    }
+}
+
+feed_fleet::~feed_fleet() = default;
+
+void feed_fleet::after(clock::duration wait, std::function<void()> task)
+{
+    m_tasks.emplace(m_now + wait, std::move(task));
+}
+
+void feed_fleet::run(milliseconds span)
+{
+    auto const until = m_now + span;
+    while (!m_tasks.empty() && m_tasks.begin()->first <= until) {
+        auto const next = m_tasks.begin();
+        m_now = std::max(m_now, next->first);
+        auto const task = std::move(next->second);
+        m_tasks.erase(next);
+        task();
+    }
+    m_now = until;
+}
+
+void feed_fleet::write(std::string const& key, std::string const& value)
+{
+    ++m_revision;
+    m_store.apply({{key, value, m_revision, false}}, m_revision);
+    answer_store_watches();
+}
+
+void feed_fleet::darken(double share, darkness how)
+{
+    std::vector<int> order(m_vms.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+        order[i] = static_cast<int>(i);
+    std::shuffle(order.begin(), order.end(), m_random);
+    order.resize(static_cast<std::size_t>(share * static_cast<double>(order.size())));
+    for (int const i : order)
+        m_vms[static_cast<std::size_t>(i)]->dark = how;
+}
+
+void feed_fleet::cut_from_store(double share, darkness how)
+{
+    std::vector<int> order(m_vms.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+        order[i] = static_cast<int>(i);
+    std::shuffle(order.begin(), order.end(), m_random);
+    order.resize(static_cast<std::size_t>(share * static_cast<double>(order.size())));
+    for (int const i : order)
+        m_vms[static_cast<std::size_t>(i)]->store_dark = how;
+}
+
+void feed_fleet::make_small(double bytes_per_ms, std::chrono::microseconds per_item)
+{
+    m_bytes_per_ms = bytes_per_ms;
+    m_per_item = per_item;
+}
+
+clock::duration feed_fleet::work(vm_state& vm, clock::duration time) const
+{
+    vm.busy_until = std::max(vm.busy_until, m_now) + time;
+    return vm.busy_until - m_now;
+}
+
+void feed_fleet::heal()
+{
+    for (auto& vm : m_vms)
+        vm->dark = vm->store_dark = darkness::none;
+}
+
+std::string feed_fleet::known(int vm, std::string const& key) const
+{
+    auto const& items = m_vms[static_cast<std::size_t>(vm)]->mirror.items();
+    auto const found = items.find(key);
+    return found == items.end() ? std::string() : found->second.value;
+}
+
+std::vector<int> feed_fleet::live() const
+{
+    std::vector<int> found;
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        if (m_vms[i]->dark == darkness::none) found.push_back(static_cast<int>(i));
+    }
+    return found;
+}
+
+bool feed_fleet::any_reader_live() const
+{
+    std::set<domain_name> seen;
+    return std::any_of(m_vms.begin(), m_vms.end(), [&seen](auto const& vm) {
+        return seen.insert(vm->domain).second && vm->dark == darkness::none;
+    });
+}
+
+bool feed_fleet::all_know(std::string const& key, std::string const& value) const
+{
+    auto const all = live();
+    return std::all_of(all.begin(), all.end(), [&](int vm) { return known(vm, key) == value; });
+}
+
+milliseconds feed_fleet::time_until_known(std::string const& key, std::string const& value, milliseconds limit)
+{
+    constexpr milliseconds step{10};
+    milliseconds taken{0};
+    while (taken < limit && !all_know(key, value)) {
+        run(step);
+        taken += step;
+    }
+    return taken;
+}
+
+milliseconds feed_fleet::oldest_copy() const
+{
+    milliseconds oldest{0};
+    for (int const i : live())
+        oldest = std::max(oldest, m_vms[static_cast<std::size_t>(i)]->publisher->age());
+    return oldest;
+}
+
+int feed_fleet::index_of(std::string const& key) const { return std::stoi(key.substr(2)) - 1000; }
+
+void feed_fleet::deliver(int from, feed_call const& call, feed_io::reply_hook const& done)
+{
+    auto const open = std::make_shared<bool>(true);
+    auto const finish = [open, done](feed_reply reply) {
+        if (!std::exchange(*open, false)) return;
+        done(std::move(reply));
+    };
+    after(call.limit, [finish] { finish({0, "no answer in time", {}}); });
+    auto const& vm = *m_vms[static_cast<std::size_t>(from)];
+    bool const outgoing = vm.dark == darkness::none || vm.dark == darkness::refused;
+    if (!outgoing) return; // Silent or stale: nothing of its own gets through.
+    auto const turn = [this] { return milliseconds(m_random() % longest_turn_ms); };
+    int distance = 2;
+    if (!call.source.is_store()) {
+        auto const& peer = *m_vms[static_cast<std::size_t>(index_of(call.source.peer_key))];
+        distance = peer.domain == vm.domain ? 0 : peer.region == vm.region ? 1 : 2;
+    }
+    // A connection and the question: two round trips, less the way back of the answer.
+    auto const there = 3 * way[distance] + turn();
+    auto const back = way[distance];
+    auto const reply = [this, from, finish, back, turn, source = call.source](feed_reply result) {
+        std::size_t bytes = 0;
+        for (auto const& item : result.batch.items)
+            bytes += item.key.size() + item.value.size() + 40;
+        auto const cost = m_per_item * static_cast<int>(result.batch.items.size());
+        clock::duration sending{0};
+        if (!source.is_store())
+            sending = work(*m_vms[static_cast<std::size_t>(index_of(source.peer_key))], cost / receiver_factor);
+        auto const transfer = milliseconds(static_cast<std::int64_t>(static_cast<double>(bytes) / m_bytes_per_ms));
+        after(sending + back + transfer, [this, from, finish, cost, turn, result = std::move(result)] {
+            auto& vm = *m_vms[static_cast<std::size_t>(from)];
+            if (vm.dark == darkness::silent) return;
+            after(work(vm, cost) + turn(), [finish, result] { finish(result); });
+        });
+    };
+    after(there, [this, from, call, reply] {
+        if (call.source.is_store())
+            ask_store(from, call, reply);
+        else
+            ask_peer(from, call, reply);
+    });
+}
+
+void feed_fleet::ask_store(int from, feed_call const& call, std::function<void(feed_reply)> const& reply)
+{
+    auto const& vm = *m_vms[static_cast<std::size_t>(from)];
+    if (vm.store_dark == darkness::silent || vm.dark != darkness::none) return;
+    ++m_store_calls;
+    if (vm.store_dark == darkness::refused) return reply({503, "", {}});
+    if (call.question == feed_question::read) {
+        auto const after_revision = call.page.empty() ? 0 : std::stoll(call.page);
+        after(store_time, [this, reply, after_revision] { reply({200, "", m_store.page_after(after_revision)}); });
+        return;
+    }
+    auto changes = m_store.changes_after(call.after);
+    bool const waits = call.question == feed_question::watch && changes && changes->items.empty();
+    if (!waits) return reply(changes ? feed_reply{200, "", *changes} : feed_reply{410, "", {}});
+    auto const open = std::make_shared<bool>(true);
+    m_watches.push_back({call.after, reply, open});
+    after(call.wait, [this, open, reply] {
+        if (std::exchange(*open, false)) reply({200, "", {{}, m_revision, {}, {}, {}}});
+    });
+}
+
+void feed_fleet::answer_store_watches()
+{
+    for (auto const& watch : std::exchange(m_watches, {})) {
+        if (std::exchange(*watch.open, false)) watch.answer({200, "", *m_store.changes_after(watch.after)});
+    }
+}
+
+void feed_fleet::ask_peer(int from, feed_call const& call, std::function<void(feed_reply)> const& reply)
+{
+    auto& peer = *m_vms[static_cast<std::size_t>(index_of(call.source.peer_key))];
+    if (peer.dark == darkness::silent) return;
+    if (peer.dark == darkness::refused) return reply({503, "", {}});
+    request_key const key(++m_last_key);
+    peer.waiting[key.value()] = [this, &peer, reply](feed_reply const& result) {
+        if (peer.dark != darkness::silent) reply(result);
+    };
+    auto const after_revision =
+        call.question == feed_question::read && !call.page.empty() ? std::stoll(call.page) : call.after;
+    peer.publisher->ask(key, {call.question, m_vms[static_cast<std::size_t>(from)]->key, after_revision, call.wait});
+}
+
+} // namespace cornelspring::testing
--- /dev/null
+++ b/tests/feed_fleet.hpp
@@ -0,0 +1,85 @@
+/** @file feed_fleet.hpp Many gateways that learn the store's state from it and from each other, in virtual time. */
+#pragma once
+
+#include <cornelspring/feed.hpp>
+
+namespace cornelspring::testing {
+
+/** How a gateway or the store's side of it misbehaves. */
+enum class darkness {
+    none,    ///< It is well.
+    silent,  ///< It answers nothing.
+    refused, ///< It refuses.
+    stale,   ///< A gateway answers from a copy that is confirmed no more.
+};
+
+/** The store, gateways in failure domains, and the network between them. */
+class feed_fleet {
+public:
+    /** @param vms gateways. @param domains failure domains; two in each region. @param seed random seed. */
+    feed_fleet(int vms, int domains, std::uint64_t seed);
+    ~feed_fleet();
+    /** Lets time pass. @param span how much. */
+    void run(milliseconds span);
+    /** Writes a key into the store. @param key key. @param value value. */
+    void write(std::string const& key, std::string const& value);
+    /** Turns a share of the gateways dark: others get no (good) answer from them, and with refused and silent they
+     *  hear nothing themselves. @param share share. @param how how. */
+    void darken(double share, darkness how);
+    /** Cuts a share of the gateways off from the store only. @param share share. @param how silent or refused. */
+    void cut_from_store(double share, darkness how);
+    /** Everything is well again. */
+    void heal();
+    /** Makes all VMs small. @param bytes_per_ms what their links carry. @param per_item processor time that an item
+     *  takes at its receiver; a sixth of it at its sender. */
+    void make_small(double bytes_per_ms, std::chrono::microseconds per_item);
+    /** @return the value of @p key that gateway @p vm knows. */
+    std::string known(int vm, std::string const& key) const;
+    /** @return gateways that are not dark. */
+    std::vector<int> live() const;
+    /** @return whether some gateway that should read the store, the first of its failure domain, is not dark. */
+    bool any_reader_live() const;
+    /** @return whether every gateway that is not dark knows @p value. */
+    bool all_know(std::string const& key, std::string const& value) const;
+    /** Lets time pass until all_know(). @return how long it took, at most @p limit. */
+    milliseconds time_until_known(std::string const& key, std::string const& value, milliseconds limit);
+    /** @return calls to the store so far. */
+    std::int64_t store_calls() const { return m_store_calls; }
+    /** @return the largest age of a copy that is not dark. */
+    milliseconds oldest_copy() const;
+
+private:
+    struct vm_state;
+    /** Runs @p task after @p wait. */
+    void after(clock::duration wait, std::function<void()> task);
+    /** Takes processor time of a VM. @return how long that takes, with what it does before. */
+    clock::duration work(vm_state& vm, clock::duration time) const;
+    /** Delivers a call of @p from. @return when its answer arrives at the earliest. */
+    void deliver(int from, feed_call const& call, feed_io::reply_hook const& done);
+    void ask_store(int from, feed_call const& call, std::function<void(feed_reply)> const& reply);
+    void ask_peer(int from, feed_call const& call, std::function<void(feed_reply)> const& reply);
+    void answer_store_watches();
+    int index_of(std::string const& key) const;
+
+    /** A watch that waits at the store. */
+    struct store_watch {
+        std::int64_t after;                     ///< Revision known.
+        std::function<void(feed_reply)> answer; ///< Answers it.
+        std::shared_ptr<bool> open;             ///< Still waits.
+    };
+
+    time_point m_now{std::chrono::seconds(1000)};
+    std::multimap<time_point, std::function<void()>> m_tasks;
+    state_mirror m_store;
+    std::int64_t m_revision = 1;
+    std::vector<store_watch> m_watches;
+    std::vector<std::unique_ptr<vm_state>> m_vms;
+    member_map m_members;
+    std::mt19937_64 m_random;
+    std::int64_t m_store_calls = 0;
+    std::uint64_t m_last_key = 0;
+    double m_bytes_per_ms = 1e9;
+    std::chrono::microseconds m_per_item{0};
+};
+
+} // namespace cornelspring::testing
--- /dev/null
+++ b/tests/test_state_feed.cpp
@@ -0,0 +1,168 @@
+/** @file test_state_feed.cpp How soon every gateway knows a change, whatever share of the others is dark. */
+#include "feed_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Largest number of changes that a gateway misses in the outages played here. */
+constexpr int many_changes = 2500;
+
+/** @return a fleet in which everybody knows the first configuration. */
+std::unique_ptr<feed_fleet> calm_fleet(int vms, int domains, std::uint64_t seed)
+{
+    auto fleet = std::make_unique<feed_fleet>(vms, domains, seed);
+    fleet->write("config", "1");
+    fleet->run(5s);
+    REQUIRE(fleet->all_know("config", "1"));
+    return fleet;
+}
+
+} // namespace
+
+TEST_CASE("feed: a change reaches every gateway within the bound, whatever share of them is dark")
+{
+    // A silent source is noticed after 0.8 s + 0.25 s, one that answers from an old copy after 2 s; three rounds of
+    // 0.3 s and one after a pause find a live one, and the change follows within 0.6 s, over a chain of followers that
+    // wait up to 60 ms for their turn.
+    constexpr milliseconds found_in{4 * 300 + 100};
+    constexpr milliseconds followed_in{600};
+    // When all gateways that should read the store are dark (0.6^6: 5 %), others ask it from the third round on, and
+    // the rest must find these: two rounds with pauses more.
+    constexpr milliseconds spread_in{2 * (300 + 400)};
+    constexpr milliseconds silent_bound = milliseconds(800 + 250) + found_in + followed_in;
+    constexpr milliseconds stale_bound = milliseconds(2000) + found_in + followed_in;
+    for (int const vms : {7, 78, 300, 470}) {
+        int const domains = vms < 10 ? 3 : 6;
+        for (double const share : {0.10, 0.35, 0.60}) {
+            for (auto const how : {darkness::silent, darkness::refused, darkness::stale}) {
+                std::uint64_t const seeds = vms < 100 ? 10 : 1;
+                for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                    auto const fleet = calm_fleet(vms, domains, seed);
+                    fleet->darken(share, how);
+                    fleet->write("config", "2");
+                    auto const taken = fleet->time_until_known("config", "2", 10s);
+                    INFO("vms ", vms, " share ", share, " how ", static_cast<int>(how), " seed ", seed);
+                    auto bound = how == darkness::stale ? stale_bound : silent_bound;
+                    if (!fleet->any_reader_live()) bound += spread_in;
+                    CHECK(taken.count() <= bound.count());
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("feed: gateways that the store turns away learn a change from the others as soon")
+{
+    constexpr milliseconds bound{2200};
+    for (auto const how : {darkness::silent, darkness::refused}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            auto const fleet = calm_fleet(78, 6, seed);
+            fleet->cut_from_store(0.35, how);
+            fleet->run(1s);
+            fleet->write("config", "2");
+            auto const taken = fleet->time_until_known("config", "2", 10s);
+            INFO("how ", static_cast<int>(how), " seed ", seed);
+            CHECK(taken.count() <= bound.count());
+        }
+    }
+}
+
+TEST_CASE("feed: gateways behind by thousands of changes catch up by pages, over the link of a small VM")
+{
+    auto const fleet = calm_fleet(78, 6, 1);
+    fleet->make_small(1750, 500us); // 14 Mbit/s, an eighth of a core.
+    fleet->darken(0.35, darkness::silent);
+    for (int i = 0; i < many_changes; ++i) {
+        fleet->write("servers/" + std::to_string(i), std::string(220, 'x'));
+        if (i % 100 == 0) fleet->run(300ms);
+    }
+    fleet->write("config", "2");
+    fleet->heal();
+    CHECK(fleet->time_until_known("config", "2", 10s).count() <= 5000);
+}
+
+TEST_CASE("feed: calls to the store do not grow with the number of gateways, also while some are dark")
+{
+    auto const calls_in = [](int vms, auto const& trouble) {
+        auto const fleet = calm_fleet(vms, 6, 1);
+        trouble(*fleet);
+        auto const before = fleet->store_calls();
+        fleet->run(9s);
+        return fleet->store_calls() - before;
+    };
+    auto const calm = [](feed_fleet&) {};
+    auto const third_cut = [](feed_fleet& fleet) { fleet.cut_from_store(0.35, darkness::refused); };
+    auto const all_cut = [](feed_fleet& fleet) { fleet.cut_from_store(1, darkness::refused); };
+    // Six failure domains, one watch of 1.5 s each.
+    CHECK(calls_in(78, calm) <= 6 * 7);
+    CHECK(calls_in(470, calm) <= 6 * 7);
+    CHECK(calls_in(78, third_cut) <= 70);
+    CHECK(calls_in(470, third_cut) <= 70);
+    // A store that refuses everybody is asked by those who should read it, and by a few more of each domain.
+    CHECK(calls_in(78, all_cut) <= 450);
+    CHECK(calls_in(470, all_cut) <= 450);
+}
+
+TEST_CASE("feed: copies are as young in gateways that follow a follower")
+{
+    auto const fleet = calm_fleet(78, 6, 3);
+    fleet->cut_from_store(0.35, darkness::refused);
+    fleet->run(3s);
+    for (int i = 0; i < 40; ++i) {
+        fleet->run(250ms);
+        CHECK(fleet->oldest_copy() <= 2s + 3 * 300ms); // Others are asked after 2 s, in rounds of 0.3 s.
+    }
+}
+
+TEST_CASE("feed: when the store is back, everybody hears of it")
+{
+    auto const fleet = calm_fleet(78, 6, 4);
+    for (auto const how : {darkness::silent, darkness::refused}) {
+        fleet->cut_from_store(1, how);
+        fleet->run(9s);
+        fleet->heal();
+        fleet->write("config", std::to_string(static_cast<int>(how) + 10));
+        CHECK(fleet->time_until_known("config", std::to_string(static_cast<int>(how) + 10), 10s).count() <= 2500);
+    }
+}
+
+TEST_CASE("mirror: an older change never replaces a newer one")
+{
+    state_mirror mirror;
+    mirror.replace({{"a", "1", 5, false}}, 7);
+    CHECK(mirror.apply({{"a", "3", 9, false}}, 9).size() == 1);
+    CHECK(mirror.apply({{"a", "2", 8, false}}, 9).empty());
+    CHECK(mirror.items().at("a").value == "3");
+}
+
+TEST_CASE("mirror: followers are told the newest state of each key, by pages")
+{
+    state_mirror mirror;
+    mirror.replace({}, 1);
+    std::int64_t revision = 1;
+    for (int turn = 0; turn < 3; ++turn) {
+        for (int i = 0; i < 600; ++i) {
+            ++revision;
+            mirror.apply({{"k" + std::to_string(i), std::string(200, 'x'), revision, false}}, revision);
+        }
+    }
+    std::int64_t at = 1;
+    std::size_t items = 0;
+    int pages = 0;
+    for (;; ++pages) {
+        auto const batch = mirror.changes_after(at);
+        REQUIRE(batch);
+        items += batch->items.size();
+        at = batch->as_of;
+        if (batch->next.empty()) break;
+        CHECK(batch->items.size() * 200 < 2 * state_mirror::page_bytes);
+    }
+    CHECK(items == 600);
+    CHECK(at == revision);
+    CHECK(pages >= 2);
+}
