Backend servers that start again under their id; entries that another writer spoiled

Cause: an entry's start was not read, so a restarted backend server kept what was learned of the old one (drain, suspicion, connections), and a late entry of the old start could put it back. Entries with fields missing or of another type were partly taken (a state that is not known counted as draining, a missing failure domain as another region), and one that could not be read left the server's last entry in force.

Change: the registry compares start, then sequence; a later start is a new backend server of which nothing is known, with connections of its own; the last start of removed ones is remembered. What cannot be read names no backend server; each reason is logged once for each key.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -21,8 +21,10 @@
 
 /** Name of a service. */
 using service_name = strong_id<struct service_name_tag, std::string>;
-/** Id of one incarnation of a backend server; a restarted one has another. */
+/** Id of a backend server; one that starts again may keep it. */
 using backend_id = strong_id<struct backend_id_tag, std::string>;
+/** Start of a backend server, in Unix milliseconds: tells its incarnations apart; 0 when it does not say. */
+using start_time = strong_id<struct start_time_tag, std::int64_t>;
 /** Name of a failure domain. */
 using domain_name = strong_id<struct domain_name_tag, std::string>;
 /** Name of a region: failure domains near each other. */
@@ -146,6 +148,8 @@
     int slots = 1;               ///< Requests it works on at once.
     bool draining = false;       ///< It leaves soon and takes no new work.
     milliseconds warmup_left{0}; ///< How much longer it is slow after its start.
+    start_time started{};        ///< Its start.
+    std::int64_t sequence = 0;   ///< Grows with each entry of one incarnation.
 };
 
 /** How one attempt at a backend server ended. */
@@ -256,7 +260,12 @@
     backend_registry(locality place, milliseconds lapse_grace) : m_place(std::move(place)), m_lapse_grace(lapse_grace)
     {
     }
-    /** Takes in an entry. @param entry entry. @param now present time. @return whether routing changes. */
+    /**
+     * Takes in an entry. One of an earlier start or of an earlier moment than the entry known is left out: a write that
+     * the store carries out late, or a copy that comes late, must not bring back what has ended. A later start is a new
+     * backend server of which nothing is known.
+     * @param entry entry. @param now present time. @return whether routing changes.
+     */
     bool apply(backend_entry const& entry, time_point now);
     /** Takes in the removal of an entry. @param id whose. @param now present time. @return whether it was known. */
     bool remove(backend_id const& id, time_point now);
@@ -272,11 +281,18 @@
     std::shared_ptr<backend_server> find(backend_id const& id) const;
 
 private:
+    /** @return whether @p entry is older than what is known of its backend server. */
+    bool outdated(backend_entry const& entry) const;
+    /** Ends a backend server: it gets no new work. */
+    void retire(std::shared_ptr<backend_server> const& server);
+
     locality m_place;                                                            ///< Where this VM is.
     milliseconds m_lapse_grace;                                                  ///< Time lapsed entries get.
     time_point m_lapses_until;                                                   ///< Removals until then may be lapses.
     std::unordered_map<std::string, std::unique_ptr<service_group>> m_groups;    ///< By service name.
     std::unordered_map<std::string, std::shared_ptr<backend_server>> m_backends; ///< By id.
+    std::unordered_map<std::string, start_time> m_ended;                         ///< Last start of removed ones, by id.
+    std::deque<std::string> m_ended_order;                                       ///< Their ids, oldest removal first.
 };
 
 /** Settings of replica choice. */
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -11,6 +11,12 @@
 /** A kept connection whose peer closes it within this time is not used any more. */
 constexpr milliseconds kept_margin{150};
 
+/** @return what kept connections to a backend server are filed under: one that starts again has new ones. */
+std::string connection_key(backend_entry const& server)
+{
+    return server.id.value() + " " + std::to_string(server.started.value());
+}
+
 } // namespace
 
 /** State of the pool. */
@@ -18,14 +24,14 @@
     /** A connection under way with an attempt. */
     struct active {
         std::unique_ptr<client_connection> connection; ///< Connection.
-        backend_id server;                             ///< Backend server.
+        std::string key;                               ///< connection_key() of the backend server.
         timer_id connect_timer;                        ///< Ends an attempt whose connect hangs.
     };
     event_loop& loop;                                                                      ///< Event loop.
     pool_options options;                                                                  ///< Settings.
     std::function<void(attempt_id, attempt_result)> on_result;                             ///< Receiver.
     std::unordered_map<std::uint64_t, active> in_use;                                      ///< By attempt.
-    std::unordered_map<std::string, std::vector<std::unique_ptr<client_connection>>> idle; ///< By backend server id.
+    std::unordered_map<std::string, std::vector<std::unique_ptr<client_connection>>> idle; ///< By connection_key().
     std::uint64_t opened = 0;                                                              ///< Connections opened.
     timer_id sweep_timer;                                                                  ///< Next sweep.
 
@@ -36,13 +42,13 @@
     void connect_hangs(attempt_id id);
     void done(attempt_id id, exchange_result result);
     attempt_result classify(exchange_result result) const;
-    void keep(backend_id const& server, std::unique_ptr<client_connection> connection);
+    void keep(std::string const& key, std::unique_ptr<client_connection> connection);
     void sweep();
 };
 
 std::unique_ptr<client_connection> backend_pool::impl::take_idle(attempt_order const& order)
 {
-    auto const found = idle.find(order.target->entry.id.value());
+    auto const found = idle.find(connection_key(order.target->entry));
     if (found == idle.end()) return nullptr;
     auto& kept = found->second;
     auto const now = loop.now();
@@ -68,7 +74,7 @@
 {
     active entry;
     auto const id = order.id;
-    entry.server = order.target->entry.id;
+    entry.key = connection_key(order.target->entry);
     entry.connection = take_idle(order);
     bool const fresh = entry.connection == nullptr;
     if (fresh) {
@@ -105,7 +111,7 @@
     in_use.erase(found);
     loop.cancel(entry.connect_timer);
     if (result.answered && entry.connection->reusable()) {
-        keep(entry.server, std::move(entry.connection));
+        keep(entry.key, std::move(entry.connection));
     }
     on_result(id, classify(std::move(result)));
 }
@@ -123,18 +129,18 @@
     return {attempt_end::answered, std::move(response), ""};
 }
 
-void backend_pool::impl::keep(backend_id const& server, std::unique_ptr<client_connection> connection)
+void backend_pool::impl::keep(std::string const& key, std::unique_ptr<client_connection> connection)
 {
     auto* raw = connection.get();
-    connection->on_idle_end([this, server, raw] {
+    connection->on_idle_end([this, key, raw] {
         // Removed later: this runs inside the connection's own callback.
-        loop.run_at(loop.now(), [this, server, raw] {
-            auto const found = idle.find(server.value());
+        loop.run_at(loop.now(), [this, key, raw] {
+            auto const found = idle.find(key);
             if (found == idle.end()) return;
             std::erase_if(found->second, [raw](auto const& each) { return each.get() == raw && !each->reusable(); });
         });
     });
-    idle[server.value()].push_back(std::move(connection));
+    idle[key].push_back(std::move(connection));
 }
 
 void backend_pool::impl::sweep()
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -94,6 +94,10 @@
     void on_config(store_item const& item);
     /** Takes in the entry of a backend server. */
     void on_backend(store_item const& item);
+    /** @return the backend server of an entry. */
+    backend_id backend_of(store_item const& item) const;
+    /** Takes in that a backend server has no entry any more. */
+    void remove_backend(backend_id const& id, std::int64_t revision);
     /** Takes in the registration of a gateway. */
     void on_member(store_item const& item);
     /** Drops entries that did not return after a store outage. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -11,6 +11,9 @@
 /** The same for lines about the source of the store's state. */
 constexpr int source_lines = 20;
 
+/** Keys of unreadable items that are remembered, so that each is written once. */
+constexpr std::size_t bad_items_kept = 1000;
+
 /** Appends @p text to @p line as a JSON string; what comes from callers is escaped by the JSON library. */
 void append_quoted(std::string& line, std::string const& text)
 {
@@ -121,6 +124,8 @@
 
 void gateway_log::bad_item(std::string const& key, std::int64_t revision, char const* reason)
 {
+    if (m_bad_items.size() >= bad_items_kept) m_bad_items.clear();
+    if (std::exchange(m_bad_items[key], reason) == reason) return;
     write({{"event", "bad_item"}, {"key", key}, {"revision", revision}, {"reason", reason}});
 }
 
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -20,7 +20,8 @@
     /** The source of the store's state changed or failed. @param source which. @param change used or failed.
      *  @param reason why. @param state_age how long ago the copy of that state was current for certain. */
     void source(feed_source const& source, char const* change, char const* reason, milliseconds state_age);
-    /** A store item cannot be read. @param key its key. @param revision its revision. @param reason why. */
+    /** A store item cannot be read; the same reason is written once for each key. @param key its key. @param revision
+     * its revision. @param reason why. */
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
     void config(config_version version, std::int64_t revision, bool applied);
@@ -42,10 +43,11 @@
     /** @return whether a line may be written now. @param kind its kind's counts. @param per_second most lines. */
     bool allowed(quota& kind, int per_second);
 
-    event_loop& m_loop;         ///< Time.
-    log4cplus::Logger m_logger; ///< Logger.
-    quota m_requests;           ///< Lines about requests.
-    quota m_sources;            ///< Lines about the source of the store's state.
+    event_loop& m_loop;                             ///< Time.
+    log4cplus::Logger m_logger;                     ///< Logger.
+    quota m_requests;                               ///< Lines about requests.
+    quota m_sources;                                ///< Lines about the source of the store's state.
+    std::map<std::string, std::string> m_bad_items; ///< Last reason written, by key.
 
     std::uint64_t m_left_out = 0; ///< Lines left out since the last one written.
 };
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -136,6 +136,8 @@
         }
     } catch (std::exception const& failure) {
         log.bad_item(item.key, item.revision, failure.what());
+        // What cannot be read names no backend server, whatever it named before; its next good entry brings it back.
+        if (item.key.starts_with(codec.backend_prefix)) remove_backend(backend_of(item), item.revision);
     }
 }
 
@@ -147,11 +149,21 @@
     log.config(next->version(), item.revision, newer);
 }
 
+backend_id gateway::impl::backend_of(store_item const& item) const
+{
+    return backend_id(item.key.substr(codec.backend_prefix.size()));
+}
+
+void gateway::impl::remove_backend(backend_id const& id, std::int64_t revision)
+{
+    if (registry.remove(id, loop.now())) log.backend(id, registry.find(id) ? "lapsed" : "gone", revision);
+}
+
 void gateway::impl::on_backend(store_item const& item)
 {
-    backend_id const id(item.key.substr(codec.backend_prefix.size()));
+    auto const id = backend_of(item);
     if (item.removed) {
-        if (registry.remove(id, loop.now())) log.backend(id, registry.find(id) ? "lapsed" : "gone", item.revision);
+        remove_backend(id, item.revision);
         return;
     }
     auto const entry = codec.parse_backend(id.value(), item.value);
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds suspect_longest{2500};
 /** Suspicion after a shed request: a slot frees within milliseconds. */
 constexpr milliseconds suspect_shed{30};
+/** Removed backend servers whose last start is remembered: those of a reshard of the largest index. */
+constexpr std::size_t ended_kept = 4096;
 /** Most doublings of the first suspicion. */
 constexpr int max_doublings = 5;
 /** Expected waits within this factor of the lowest count as equal, so that VMs do not all pick the same one. */
@@ -108,11 +110,34 @@
     return usual + (m_latency_ms - usual) * std::exp2(-age_s / forget_half_life_s);
 }
 
+bool backend_registry::outdated(backend_entry const& entry) const
+{
+    auto const known = m_backends.find(entry.id.value());
+    if (known == m_backends.end()) {
+        auto const ended = m_ended.find(entry.id.value());
+        return ended != m_ended.end() && entry.started < ended->second;
+    }
+    auto const& last = known->second->entry;
+    if (entry.started != last.started) return entry.started < last.started;
+    bool const counted = entry.started != start_time();
+    return counted && entry.sequence < last.sequence;
+}
+
+void backend_registry::retire(std::shared_ptr<backend_server> const& server)
+{
+    server->gone = true;
+    std::erase(group(server->entry.service).backends, server);
+}
+
 bool backend_registry::apply(backend_entry const& entry, time_point now)
 {
+    if (outdated(entry)) return false;
     auto& known = m_backends[entry.id.value()];
-    bool const is_new = known == nullptr;
+    bool const restarted = known != nullptr && known->entry.started != entry.started;
+    bool const moved = known != nullptr && known->entry.service != entry.service;
+    bool const is_new = known == nullptr || restarted || moved;
     if (is_new) {
+        if (known) retire(known);
         known = std::make_shared<backend_server>();
         group(entry.service).backends.push_back(known);
     }
@@ -140,9 +165,12 @@
         if (!server.lapsed_until) server.lapsed_until = m_lapses_until;
         return true;
     }
-    server.gone = true;
-    auto& backends = group(server.entry.service).backends;
-    std::erase(backends, found->second);
+    if (m_ended.insert_or_assign(id.value(), server.entry.started).second) m_ended_order.push_back(id.value());
+    if (m_ended_order.size() > ended_kept) {
+        m_ended.erase(m_ended_order.front());
+        m_ended_order.pop_front();
+    }
+    retire(found->second);
     m_backends.erase(found);
     return true;
 }
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -272,6 +272,56 @@
     CHECK(refused.status == 503);
 }
 
+TEST_CASE("a backend server that starts again under its id is new, and entries of other writers disturb nobody")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto const settle = [] { std::this_thread::sleep_for(600ms); };
+    auto const count = [&](char const* backend) {
+        int found = 0;
+        for (auto const& each : fleet.journal())
+            found += each["backend"] == backend ? 1 : 0;
+        return found;
+    };
+    int asked = 0;
+    auto const ask_ten = [&] {
+        int good = 0;
+        for (int i = 0; i < 10; ++i)
+            good += fleet.ask(1, "/r/a", "id-" + std::to_string(++asked)).status == 200 ? 1 : 0;
+        return good;
+    };
+    auto const well = fleet.entries()["i-s-0"];
+    auto entry = well;
+    entry["born"] = 2000;
+    entry["state"] = "draining";
+    fleet.register_backend("i-s-0", entry);
+    settle();
+    CHECK(ask_ten() == 10);
+    CHECK(count("i-s-0") == 0);
+    // Its new start takes work at once; a late entry of the old one changes nothing.
+    entry = well;
+    entry["born"] = 3000;
+    entry["seq"] = 1;
+    fleet.register_backend("i-s-0", entry);
+    entry["born"] = 2000;
+    entry["state"] = "draining";
+    entry["seq"] = 90;
+    fleet.register_backend("i-s-0", entry);
+    settle();
+    CHECK(ask_ten() == 10);
+    int const before = count("i-s-0");
+    CHECK(before > 0);
+    // Another writer: one entry that cannot be read, for a known server, and one for nobody.
+    entry["state"] = 5;
+    fleet.register_backend("i-s-0", entry);
+    fleet.register_backend("i-nobody", json::array({1, 2}));
+    settle();
+    CHECK(ask_ten() == 10);
+    CHECK(count("i-s-0") == before);
+    CHECK(count("i-s-1") > 0);
+    CHECK(fleet.ask(1, "/q/a", "id-q").body == expected_records(shards, "id-q", 4));
+}
+
 TEST_CASE("a caller that leaves takes its work along")
 {
     gateway_fleet fleet;
