--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -302,7 +302,7 @@
     void set_searching(bool searching) { m_searching = searching; }
     /** @return by whom the copy was confirmed last; nothing before a full read. */
     std::optional<feed_source> const& source() const { return m_source; }
-    /** @return how long ago the copy was current for certain. */
+    /** @return how long ago the copy was current for certain; -1 ms before the first. */
     milliseconds age() const;
 
 private:
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -8,6 +8,8 @@
 
 /** Longest a follower may wait for changes. */
 constexpr milliseconds longest_wait{5000};
+/** Age before the first copy. */
+constexpr milliseconds never{-1};
 /** Status while there is no copy, no source, or when the follower itself is the source. */
 constexpr int status_unavailable = 503;
 /** Status when the follower must read everything anew. */
@@ -17,6 +19,7 @@
 
 milliseconds state_publisher::age() const
 {
+    if (!m_source) return never;
     return std::chrono::duration_cast<milliseconds>(m_hooks.now() - m_confirmed_at);
 }
 
