Callers keep an address answer for 4 s in place of 2 s

Change: the default of addresses_ttl_s. The platform allows 5 s; VMs that stop serve on for 4.3 s, and callers leave out addresses that failed them.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -192,7 +192,7 @@
     double capacity = 1;                     ///< Processor cores this VM may use.
     milliseconds lease_ttl{6000};            ///< Time to live of this VM's registration.
     milliseconds stop_limit{5500};           ///< A stop ends after this, whatever is open.
-    int addresses_ttl_s = 2;                 ///< How long callers keep an address answer.
+    int addresses_ttl_s = 4;                 ///< How long callers keep an address answer.
     dispatcher_options dispatch;             ///< Decisions.
     pool_options pool;                       ///< Connections to backend servers.
     /** Writes the answer to an address question. */
