--- a/src/routing/dispatcher_arrival.cpp
+++ b/src/routing/dispatcher_arrival.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 /**
- * Seconds a caller waits at least before it asks a VM again that knows no configuration yet. A process that starts knows
- * it after 45 to 95 ms. With 0.5 s, callers with 800 ms and one try left came back too late or not at all: 10 requests
- * after a power cut of all VMs, of 150 that failed on that day.
+ * Seconds a caller waits at least before it asks a VM again that knows no configuration yet. A process that starts
+ * knows it after 45 to 95 ms. With 0.5 s, callers with 800 ms and one try left came back too late or not at all: 10
+ * requests after a power cut of all VMs, of 150 that failed on that day.
  */
 constexpr double starting_retry_after_s = 0.1;
 
