The dispatcher in a library of its own: dispatch.hpp beside routing.hpp, merging out of the budget's file

Cause: routing.hpp held eight subjects in 527 lines, and merge_records lay in the file of the retry budget.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -1,7 +1,7 @@
 /** @file coordination.hpp Store client, configuration watch, membership by leases, and scatter-gather. */
 #pragma once
 
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 #include <cornelspring/state.hpp>
 #include <cornelspring/transport.hpp>
 
--- a/include/cornelspring/emulator.hpp
+++ b/include/cornelspring/emulator.hpp
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 #include <nlohmann/json.hpp>
 
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cornelspring/dispatch.hpp>
 #include <cornelspring/feed.hpp>
 
 namespace cornelspring {
--- a/src/routing/admission_control.cpp
+++ b/src/dispatch/admission_control.cpp
@@ -1,5 +1,5 @@
 /** @file admission_control.cpp Which share of the queries over one set of shards is let in, by how long they wait. */
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/routing/latency_window.cpp
+++ b/src/dispatch/latency_window.cpp
@@ -1,5 +1,5 @@
 /** @file latency_window.cpp Quantiles of recent latencies, for hedge delays. */
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 #include <algorithm>
 
--- a/src/routing/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -1,7 +1,7 @@
 /** @file request_state.hpp What the dispatcher keeps of each request, shard and attempt (internal). */
 #pragma once
 
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 namespace cornelspring {
 
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -1,7 +1,7 @@
 /** @file dispatcher_fixture.hpp A dispatcher with backend servers played by the test, in virtual time. */
 #pragma once
 
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 #include <doctest/doctest.h>
 
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -1,5 +1,5 @@
 /** @file test_routing.cpp Decisions of the query tier without sockets or clocks. */
-#include <cornelspring/routing.hpp>
+#include <cornelspring/dispatch.hpp>
 
 #include <doctest/doctest.h>
 
