Entries that lapsed in a store outage get their time to return again, also at followers

The feed by age told the gateway that the store answers again after the changes had been taken in, so that the removal of entries that lapsed in the outage came first and took every server out at once; a follower learned of the outage's end only from its own registration, which backs off now.

Test first: "entries that lapse in a store outage are used on until they are back, also by followers", one of the two entries returning and the other one gone after its time.

--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -235,8 +235,11 @@
     std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_snapshot; ///< Everything there is.
     std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_changes;  ///< Changes.
     std::function<void(feed_source const& source, char const* reason)> on_failed;              ///< A source failed.
-    /** A source answered. @param confirmed_at when the copy was current for certain. @param path gateways between this
-     *  VM and the store, the source first. */
+    /** A source with a current copy answered, before what it says is taken in. @param unheard how long nothing had
+     *  confirmed the copy. */
+    std::function<void(feed_source const& source, milliseconds unheard)> on_heard;
+    /** What a source answered was taken in. @param confirmed_at when the copy was current for certain. @param path
+     * gateways between this VM and the store, the source first. */
     std::function<void(feed_source const& source, time_point confirmed_at, std::vector<std::string> const& path)>
         on_answered;
     std::function<void(bool searching)> on_search; ///< A search begins or ends: this VM has no source to vouch for.
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -1,6 +1,6 @@
 /**
- * @file routing.hpp What requests are routed by, without sockets or clock reads: routes, places, backend servers and what
- * was observed of them, replica choice, retry budget.
+ * @file routing.hpp What requests are routed by, without sockets or clock reads: routes, places, backend servers and
+ * what was observed of them, replica choice, retry budget.
  */
 #pragma once
 
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -172,13 +172,15 @@
 
 void state_feed::impl::confirmed(feed_source const& source, store_batch const& batch)
 {
-    // Before the last page, the copy is older than the sender's.
     vouched_at = io.now() - batch.age;
+    auto const unheard = std::chrono::duration_cast<milliseconds>(io.now() - confirmed_at);
+    // Before the last page, the copy is older than the sender's.
     if (batch.next.empty()) confirmed_at = std::max(confirmed_at, vouched_at);
     if (batch.age > search_age) {
         search(); // It is followed on meanwhile: nothing better is known.
         return;
     }
+    events.on_heard(source, is_synced ? unheard : milliseconds(0));
     selector.on_answered(source);
     on_trial = false;
     set_searching(false);
@@ -186,15 +188,12 @@
 
 void state_feed::impl::take(feed_source const& source, feed_reply const& reply)
 {
-    bool const gone = !needs_read && reply.status == status_gone;
-    if (reply.status != status_ok && !gone) {
-        failed(source, reply.status == 0 ? reply.reason : "refused");
-        next_page.clear();
-        step();
-        return;
-    }
-    if (gone) {
-        needs_read = true;
+    if (reply.status != status_ok) {
+        bool const gone = !needs_read && reply.status == status_gone;
+        if (gone)
+            needs_read = true;
+        else
+            failed(source, reply.status == 0 ? reply.reason : "refused");
         next_page.clear();
         step();
         return;
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -82,6 +82,8 @@
 
     /** Notes whether a call to the store succeeded. */
     void on_store_call(bool ok);
+    /** The store is back after an outage. */
+    void on_store_back();
     /** Takes in everything there is in the store. */
     void on_snapshot(std::vector<store_item> const& items, std::int64_t as_of);
     /** Takes in changes of the store. */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -36,7 +36,11 @@
         bool const other = followers.source() != source;
         followers.on_confirmed(source, confirmed_at, path);
         if (other) log.source(source, "used", "", followers.age());
+    };
+    events.on_heard = [this](feed_source const& source, milliseconds unheard) {
         if (source.is_store()) on_store_call(true);
+        // A follower may not have called the store itself during an outage.
+        if (unheard > fresh_limit) on_store_back();
     };
     events.on_search = [this](bool searching) { followers.set_searching(searching); };
     events.members = [this]() -> member_map const& { return members; };
@@ -60,6 +64,12 @@
     auto const outage = first ? milliseconds(0) : std::chrono::duration_cast<milliseconds>(loop.now() - store_lost_at);
     log.dependency("store", "regained", outage);
     if (first) return;
+    on_store_back();
+}
+
+/** Entries that lapsed while the store was away get time to return; this comes before their removal is taken in. */
+void gateway::impl::on_store_back()
+{
     registry.on_store_back(loop.now());
     loop.run_at(loop.now() + lapse_grace, [this] { expire_lapsed(); });
 }
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -82,6 +82,7 @@
         events.on_answered = [&vm](feed_source const& source, time_point at, auto const& path) {
             vm.publisher->on_confirmed(source, at, path);
         };
+        events.on_heard = [](feed_source const&, milliseconds) {};
         events.on_search = [&vm](bool searching) { vm.publisher->set_searching(searching); };
         events.members = [this]() -> member_map const& { return m_members; };
         feed_place const place{{"10.9.9.9", 1}, vm.key, vm.domain, vm.region, {}};
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -232,6 +232,32 @@
     }));
 }
 
+TEST_CASE("entries that lapse in a store outage are used on until they are back, also by followers")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.start_gateway(2);
+    auto const entries = fleet.entries();
+    std::this_thread::sleep_for(1s); // The second gateway follows the first.
+    fleet.store("fault", {{"mode", "silent"}});
+    std::this_thread::sleep_for(4500ms);
+    for (char const* id : {"i-s-0", "i-s-1"})
+        fleet.store("drop", {{"key", std::string("servers/") + id}});
+    fleet.store("fault", {{"mode", "ok"}});
+    auto const back = clock::now();
+    int asked = 0;
+    while (clock::now() < back + 1800ms) {
+        for (int const number : {1, 2})
+            CHECK(fleet.ask(number, "/r/a", "id-" + std::to_string(++asked)).status == 200);
+        std::this_thread::sleep_for(100ms);
+    }
+    // One returns, the other is still missing after that time, and is gone.
+    fleet.register_backend("i-s-0", entries["i-s-0"]);
+    std::this_thread::sleep_for(2500ms);
+    CHECK(fleet.ask(2, "/r/a", "id-last").status == 200);
+    CHECK(fleet.journal().back()["backend"] == "i-s-0");
+}
+
 TEST_CASE("a gateway that the store turns away tries to register less and less often, and soon after its return")
 {
     gateway_fleet fleet;
