--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -128,6 +128,9 @@
  *  each 1.5 s, and a slow store takes some hundred milliseconds more. */
 inline constexpr milliseconds fresh_limit{2500};
 
+/** Rounds of a search without a pause between them, each of which asks twice as many as the one before. */
+inline constexpr int quick_search_rounds = 3;
+
 /** Where a gateway is, for the choice of its source. */
 struct feed_place {
     endpoint store;              ///< The platform's store.
--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -6,14 +6,11 @@
 namespace cornelspring {
 namespace {
 
-/** Sources asked in the first round of a search. */
+/** Sources asked in the first round of a search; each further quick round asks twice as many. */
 constexpr std::size_t first_asks = 4;
 /** Sources asked in each round after the quick ones: by then the store is probably down for all, and questions cost a
  * VM with an eighth of a core time that its callers need. */
 constexpr std::size_t later_asks = 8;
-/** Each further quick round asks twice as many: with 60 % of the VMs dark, 4, 8 and 16 are all dark in 6 of 10 million
- *  searches. */
-constexpr int quick_rounds = 3;
 /** A gateway that need not read the store asks it from this round on: two rounds found nobody. */
 constexpr int store_round = 2;
 /** Of the gateways of one failure domain, so many ask the store in such a round: when it is down for all, calls to it
@@ -161,7 +158,7 @@
         for (auto const& seed : m_place.seeds)
             targets.push_back({"seed " + seed.to_string(), seed});
     }
-    auto const wanted = round < quick_rounds ? first_asks << round : later_asks;
+    auto const wanted = round < quick_search_rounds ? first_asks << round : later_asks;
     targets.resize(std::min(targets.size(), wanted));
     if (asks_store(members, round)) targets.push_back({"", m_place.store});
     return targets;
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -34,8 +34,6 @@
 constexpr milliseconds younger_by{200};
 /** A copy this young needs no younger one: it says nothing against copies of about the same age. */
 constexpr milliseconds young{600};
-/** Rounds of a search without a pause. */
-constexpr int quick_rounds = 3;
 /** First pause after these; doubles up to the longest. */
 constexpr milliseconds first_pause{100};
 /** Longest pause between rounds: a store that returns is noticed within it. */
@@ -310,7 +308,8 @@
     if (!searching || number != search_number || ended != round) return;
     ++round;
     milliseconds pause{0};
-    if (round >= quick_rounds) pause = std::min(first_pause * (1 << std::min(round - quick_rounds, 8)), longest_pause);
+    if (round >= quick_search_rounds)
+        pause = std::min(first_pause * (1 << std::min(round - quick_search_rounds, 8)), longest_pause);
     io.run_at(std::max(io.now() + pause, round_began + shortest_round), [this, number, begun = round] {
         if (searching && number == search_number && begun == round) ask_round();
     });
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -73,12 +73,7 @@
         feed_events events;
         events.on_snapshot = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.replace(items, as_of); };
         events.on_changes = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.apply(items, as_of); };
-        events.on_failed = [&vm, this](feed_source const& s, char const* r) {
-            if (getenv("FEED_TRACE"))
-                printf("%lld %s failed %s: %s\n",
-                       (long long)std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count(),
-                       vm.key.c_str(), s.peer_key.c_str(), r);
-        };
+        events.on_failed = [](feed_source const&, char const*) {};
         events.on_answered = [&vm](feed_source const& source, time_point at, auto const& path) {
             vm.publisher->on_confirmed(source, at, path);
         };
@@ -118,26 +113,26 @@
     answer_store_watches();
 }
 
+std::vector<feed_fleet::vm_state*> feed_fleet::draw(double share)
+{
+    std::vector<vm_state*> drawn;
+    for (auto const& vm : m_vms)
+        drawn.push_back(vm.get());
+    std::shuffle(drawn.begin(), drawn.end(), m_random);
+    drawn.resize(static_cast<std::size_t>(share * static_cast<double>(drawn.size())));
+    return drawn;
+}
+
 void feed_fleet::darken(double share, darkness how)
 {
-    std::vector<int> order(m_vms.size());
-    for (std::size_t i = 0; i < order.size(); ++i)
-        order[i] = static_cast<int>(i);
-    std::shuffle(order.begin(), order.end(), m_random);
-    order.resize(static_cast<std::size_t>(share * static_cast<double>(order.size())));
-    for (int const i : order)
-        m_vms[static_cast<std::size_t>(i)]->dark = how;
+    for (auto* vm : draw(share))
+        vm->dark = how;
 }
 
 void feed_fleet::cut_from_store(double share, darkness how)
 {
-    std::vector<int> order(m_vms.size());
-    for (std::size_t i = 0; i < order.size(); ++i)
-        order[i] = static_cast<int>(i);
-    std::shuffle(order.begin(), order.end(), m_random);
-    order.resize(static_cast<std::size_t>(share * static_cast<double>(order.size())));
-    for (int const i : order)
-        m_vms[static_cast<std::size_t>(i)]->store_dark = how;
+    for (auto* vm : draw(share))
+        vm->store_dark = how;
 }
 
 void feed_fleet::make_small(double bytes_per_ms, std::chrono::microseconds per_item)
--- a/tests/feed_fleet.hpp
+++ b/tests/feed_fleet.hpp
@@ -52,6 +52,8 @@
     struct vm_state;
     /** Runs @p task after @p wait. */
     void after(clock::duration wait, std::function<void()> task);
+    /** @return a random share of the gateways. */
+    std::vector<vm_state*> draw(double share);
     /** Takes processor time of a VM. @return how long that takes, with what it does before. */
     clock::duration work(vm_state& vm, clock::duration time) const;
     /** Delivers a call of @p from. @return when its answer arrives at the earliest. */
