A gateway that is ready names itself before it has heard of any registration

Traced: since the first watch comes 0.4 s after a full read, a gateway that is ready has not seen its own registration for that long, and knew no address to name; beside load the test asked within that time. A real fault: the first callers of a starting fleet would have been sent away.

Change: it names itself while it knows no other. Test: 50 questions from the first moment of readiness on; on the gateway before, the first one gets 503.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,7 +116,9 @@
 http_response gateway::impl::addresses(std::string const& target)
 {
     auto const [region, domain] = settings.decode_place(target);
-    auto const chosen = choose_addresses(members, active, region, domain, random);
+    auto chosen = choose_addresses(members, active, region, domain, random);
+    // Before a gateway hears of any registration, its own included, it knows one that serves: itself.
+    if (chosen.empty() && ready() && settings.caller_address) chosen.push_back(*settings.caller_address);
     if (chosen.empty()) {
         http_response response;
         response.status = 503;
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -68,6 +68,22 @@
     CHECK(metrics.body.find("cornel_gateway_requests_total") != std::string::npos);
 }
 
+TEST_CASE("a gateway that is ready names an address from the first moment on")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1, "d1", false);
+    int asked = 0;
+    auto const until = clock::now() + 5s;
+    while (clock::now() < until && asked < 50) {
+        if (fleet.get(gateway_fleet::address(1, "ready"), "/cornelspring/ready").status != 200) continue;
+        ++asked;
+        auto const answer = fleet.get(gateway_fleet::address(1, "directory"), "/cornelspring/resolve?name=h.example");
+        REQUIRE(answer.status == 200);
+        CHECK(json::parse(answer.body)["addrs"].size() == 1);
+    }
+    CHECK(asked == 50);
+}
+
 TEST_CASE("whatever a backend server sends, a caller gets its own whole answer or a failure")
 {
     struct row {
