A seed that a search found is followed while no other gateway is registered

The search found a seed that is current, the choice turned it down because some registration was known, and the search began anew each 50 ms; no state was read for 4 s.

Change: it is followed while no registration but this VM's own is known. The test of starts with seeds covers it.

--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -93,8 +93,12 @@
     if (!m_found || failed(*m_found)) return std::nullopt;
     if (m_found->is_store()) return m_found;
     auto const known = members.find(m_found->peer_key);
-    bool const usable = known == members.end() ? members.empty() : !known->second.stopping;
-    return usable ? m_found : std::nullopt;
+    if (known != members.end()) return known->second.stopping ? std::nullopt : m_found;
+    // A seed has no key in the store. It serves while no other gateway is registered, as after an outage in which all
+    // registrations lapsed but this VM's: found and turned down by turns, it kept an old configuration for 4 s.
+    bool const alone =
+        std::all_of(members.begin(), members.end(), [this](auto const& each) { return each.first == m_place.self; });
+    return alone ? m_found : std::nullopt;
 }
 
 std::optional<feed_source> feed_selector::choose_for_read(member_map const& members) const
--- a/tests/test_gateway_state.cpp
+++ b/tests/test_gateway_state.cpp
@@ -156,6 +156,11 @@
         REQUIRE(targets.size() == 2);
         CHECK(targets[0].address == endpoint{"127.0.0.7", 7});
         CHECK(targets[1].is_store());
+        // Also while only its own registration is known.
+        member_map const alone{{"g/9", member_of("d1", "r", 9)}};
+        starting.on_found(targets[0]);
+        REQUIRE(starting.choose(alone));
+        CHECK(starting.choose(alone)->address == endpoint{"127.0.0.7", 7});
     }
 }
 
