Review: one agenda of virtual time, the emulator split by job, kept connections filed under their server's object

Change: agenda.hpp and modelled_server.hpp beside emulator.cpp (373 lines), the fleet uses the agenda; the pool files connections under the server object. No behaviour changes.

--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -1,128 +1,15 @@
 /** @file emulator.cpp The model: callers, gateways, network and backend servers in virtual time. */
-#include <cornelspring/emulator.hpp>
+#include "modelled_server.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <queue>
 
 namespace cornelspring {
 namespace {
 
-/** Virtual time begins here, so that no time point is near the clock's zero, which means "never". */
-constexpr time_point epoch{std::chrono::hours(1)};
-
-/** @return @p ms as a duration of the clock. */
-clock::duration from_ms(double ms)
-{
-    return std::chrono::duration_cast<clock::duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
 /** @return seconds since the begin. */
 double seconds_of(time_point now) { return std::chrono::duration<double>(now - epoch).count(); }
 
-/** Things that happen later, in order of time, then of their making. */
-class agenda {
-public:
-    /** Adds @p task. @param when due time. @param task work. */
-    void at(time_point when, std::function<void()> task) { m_tasks.push({when, m_made++, std::move(task)}); }
-    /** Runs everything until @p end. @param end last time. */
-    void run_until(time_point end)
-    {
-        while (!m_tasks.empty() && m_tasks.top().when <= end) {
-            auto next = std::move(const_cast<entry&>(m_tasks.top()));
-            m_tasks.pop();
-            m_now = next.when;
-            next.task();
-        }
-    }
-    /** @return present virtual time. */
-    time_point now() const { return m_now; }
-
-private:
-    /** One thing. */
-    struct entry {
-        time_point when;            ///< Due time.
-        std::uint64_t made = 0;     ///< Order of making.
-        std::function<void()> task; ///< Work.
-        /** Later entries sort first, for std::priority_queue. */
-        bool operator<(entry const& other) const { return std::tie(when, made) > std::tie(other.when, other.made); }
-    };
-    std::priority_queue<entry> m_tasks; ///< What is to come.
-    std::uint64_t m_made = 0;           ///< Entries made.
-    time_point m_now = epoch;           ///< Present.
-};
-
-/** An attempt at a modelled backend server. */
-struct job {
-    double work_ms = 0;                    ///< Work.
-    std::function<void(attempt_end)> done; ///< Receives the end.
-    bool cancelled = false;                ///< Given up by the gateway.
-};
-
-/** A backend server: slots, queue, pauses, faults. */
-class modelled_server {
-public:
-    modelled_server(agenda& todo, emulated_deployment const& deployment, std::mt19937_64& random)
-        : m_todo(todo), m_deployment(deployment), m_random(random)
-    {
-        plan_pause();
-    }
-    /** A request arrives. */
-    void arrive(std::shared_ptr<job> work)
-    {
-        if (dark) return;
-        if (m_running >= m_deployment.slots && m_queue.size() >= static_cast<std::size_t>(m_deployment.queue)) {
-            work->done(attempt_end::not_executed);
-            return;
-        }
-        m_queue.push_back(std::move(work));
-        start_some();
-    }
-    double slowdown = 1; ///< Factor on the work.
-    bool dark = false;   ///< Neither answers nor works.
-
-private:
-    void plan_pause()
-    {
-        if (m_deployment.pause_every_s <= 0) return;
-        std::exponential_distribution<double> gap(1.0 / m_deployment.pause_every_s);
-        m_todo.at(m_todo.now() + from_ms(gap(m_random) * 1000), [this] {
-            m_paused_until = m_todo.now() + from_ms(m_deployment.pause_ms);
-            m_todo.at(m_paused_until, [this] {
-                start_some();
-                plan_pause();
-            });
-        });
-    }
-    void start_some()
-    {
-        while (m_running < m_deployment.slots && !m_queue.empty() && m_todo.now() >= m_paused_until) {
-            auto work = std::move(m_queue.front());
-            m_queue.pop_front();
-            if (work->cancelled) continue;
-            ++m_running;
-            m_todo.at(m_todo.now() + from_ms(work->work_ms * slowdown), [this, work] { finish(work); });
-        }
-    }
-    void finish(std::shared_ptr<job> const& work)
-    {
-        if (m_todo.now() < m_paused_until) { // A pause holds up what runs, too.
-            m_todo.at(m_paused_until, [this, work] { finish(work); });
-            return;
-        }
-        --m_running;
-        if (!work->cancelled && !dark) work->done(attempt_end::answered);
-        start_some();
-    }
-
-    agenda& m_todo;                           ///< Time.
-    emulated_deployment const& m_deployment;  ///< Sizes.
-    std::mt19937_64& m_random;                ///< Pauses.
-    std::deque<std::shared_ptr<job>> m_queue; ///< Waiting.
-    int m_running = 0;                        ///< At work.
-    time_point m_paused_until;                ///< Pause.
-};
-
 /** A caller's request, over its tries. */
 struct caller_task {
     std::size_t kind = 0;   ///< Kind.
--- /dev/null
+++ b/src/emulator/modelled_server.hpp
@@ -0,0 +1,87 @@
+/** @file modelled_server.hpp A backend server of the emulator: slots, queue, pauses, faults (internal). */
+#pragma once
+
+#include "agenda.hpp"
+
+#include <cornelspring/emulator.hpp>
+
+namespace cornelspring {
+
+/** @return @p ms as a duration of the clock. */
+inline clock::duration from_ms(double ms)
+{
+    return std::chrono::duration_cast<clock::duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+/** An attempt at a modelled backend server. */
+struct job {
+    double work_ms = 0;                    ///< Work.
+    std::function<void(attempt_end)> done; ///< Receives the end.
+    bool cancelled = false;                ///< Given up by the gateway.
+};
+
+/** A backend server: slots, queue, pauses, faults. */
+class modelled_server {
+public:
+    modelled_server(agenda& todo, emulated_deployment const& deployment, std::mt19937_64& random)
+        : m_todo(todo), m_deployment(deployment), m_random(random)
+    {
+        plan_pause();
+    }
+    /** A request arrives. */
+    void arrive(std::shared_ptr<job> work)
+    {
+        if (dark) return;
+        if (m_running >= m_deployment.slots && m_queue.size() >= static_cast<std::size_t>(m_deployment.queue)) {
+            work->done(attempt_end::not_executed);
+            return;
+        }
+        m_queue.push_back(std::move(work));
+        start_some();
+    }
+    double slowdown = 1; ///< Factor on the work.
+    bool dark = false;   ///< Neither answers nor works.
+
+private:
+    void plan_pause()
+    {
+        if (m_deployment.pause_every_s <= 0) return;
+        std::exponential_distribution<double> gap(1.0 / m_deployment.pause_every_s);
+        m_todo.at(m_todo.now() + from_ms(gap(m_random) * 1000), [this] {
+            m_paused_until = m_todo.now() + from_ms(m_deployment.pause_ms);
+            m_todo.at(m_paused_until, [this] {
+                start_some();
+                plan_pause();
+            });
+        });
+    }
+    void start_some()
+    {
+        while (m_running < m_deployment.slots && !m_queue.empty() && m_todo.now() >= m_paused_until) {
+            auto work = std::move(m_queue.front());
+            m_queue.pop_front();
+            if (work->cancelled) continue;
+            ++m_running;
+            m_todo.at(m_todo.now() + from_ms(work->work_ms * slowdown), [this, work] { finish(work); });
+        }
+    }
+    void finish(std::shared_ptr<job> const& work)
+    {
+        if (m_todo.now() < m_paused_until) { // A pause holds up what runs, too.
+            m_todo.at(m_paused_until, [this, work] { finish(work); });
+            return;
+        }
+        --m_running;
+        if (!work->cancelled && !dark) work->done(attempt_end::answered);
+        start_some();
+    }
+
+    agenda& m_todo;                           ///< Time.
+    emulated_deployment const& m_deployment;  ///< Sizes.
+    std::mt19937_64& m_random;                ///< Pauses.
+    std::deque<std::shared_ptr<job>> m_queue; ///< Waiting.
+    int m_running = 0;                        ///< At work.
+    time_point m_paused_until;                ///< Pause.
+};
+
+} // namespace cornelspring
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -11,12 +11,6 @@
 /** A kept connection whose peer closes it within this time is not used any more. */
 constexpr milliseconds kept_margin{150};
 
-/** @return what kept connections to a backend server are filed under: one that starts again has new ones. */
-std::string connection_key(backend_entry const& server)
-{
-    return server.id.value() + " " + std::to_string(server.started.value());
-}
-
 } // namespace
 
 /** State of the pool. */
@@ -24,16 +18,17 @@
     /** A connection under way with an attempt. */
     struct active {
         std::unique_ptr<client_connection> connection; ///< Connection.
-        std::string key;                               ///< connection_key() of the backend server.
+        std::shared_ptr<backend_server> server;        ///< Backend server.
         timer_id connect_timer;                        ///< Ends an attempt whose connect hangs.
     };
-    event_loop& loop;                                                                      ///< Event loop.
-    pool_options options;                                                                  ///< Settings.
-    std::function<void(attempt_id, attempt_result)> on_result;                             ///< Receiver.
-    std::unordered_map<std::uint64_t, active> in_use;                                      ///< By attempt.
-    std::unordered_map<std::string, std::vector<std::unique_ptr<client_connection>>> idle; ///< By connection_key().
-    std::uint64_t opened = 0;                                                              ///< Connections opened.
-    timer_id sweep_timer;                                                                  ///< Next sweep.
+    event_loop& loop;                                          ///< Event loop.
+    pool_options options;                                      ///< Settings.
+    std::function<void(attempt_id, attempt_result)> on_result; ///< Receiver.
+    std::unordered_map<std::uint64_t, active> in_use;          ///< By attempt.
+    /** Kept connections; a backend server that starts again is another object and has none. */
+    std::unordered_map<std::shared_ptr<backend_server>, std::vector<std::unique_ptr<client_connection>>> idle;
+    std::uint64_t opened = 0; ///< Connections opened.
+    timer_id sweep_timer;     ///< Next sweep.
 
     std::unique_ptr<client_connection> take_idle(attempt_order const& order);
     /** @return the request with the time left at @p now, or nothing when none is left. */
@@ -42,13 +37,13 @@
     void connect_hangs(attempt_id id);
     void done(attempt_id id, exchange_result result);
     attempt_result classify(exchange_result result) const;
-    void keep(std::string const& key, std::unique_ptr<client_connection> connection);
+    void keep(std::shared_ptr<backend_server> const& server, std::unique_ptr<client_connection> connection);
     void sweep();
 };
 
 std::unique_ptr<client_connection> backend_pool::impl::take_idle(attempt_order const& order)
 {
-    auto const found = idle.find(connection_key(order.target->entry));
+    auto const found = idle.find(order.target);
     if (found == idle.end()) return nullptr;
     auto& kept = found->second;
     auto const now = loop.now();
@@ -74,7 +69,7 @@
 {
     active entry;
     auto const id = order.id;
-    entry.key = connection_key(order.target->entry);
+    entry.server = order.target;
     entry.connection = take_idle(order);
     bool const fresh = entry.connection == nullptr;
     if (fresh) {
@@ -111,7 +106,7 @@
     in_use.erase(found);
     loop.cancel(entry.connect_timer);
     if (result.answered && entry.connection->reusable()) {
-        keep(entry.key, std::move(entry.connection));
+        keep(entry.server, std::move(entry.connection));
     }
     on_result(id, classify(std::move(result)));
 }
@@ -129,18 +124,19 @@
     return {attempt_end::answered, std::move(response), ""};
 }
 
-void backend_pool::impl::keep(std::string const& key, std::unique_ptr<client_connection> connection)
+void backend_pool::impl::keep(std::shared_ptr<backend_server> const& server,
+                              std::unique_ptr<client_connection> connection)
 {
     auto* raw = connection.get();
-    connection->on_idle_end([this, key, raw] {
+    connection->on_idle_end([this, server, raw] {
         // Removed later: this runs inside the connection's own callback.
-        loop.run_at(loop.now(), [this, key, raw] {
-            auto const found = idle.find(key);
+        loop.run_at(loop.now(), [this, server, raw] {
+            auto const found = idle.find(server);
             if (found == idle.end()) return;
             std::erase_if(found->second, [raw](auto const& each) { return each.get() == raw && !each->reusable(); });
         });
     });
-    idle[key].push_back(std::move(connection));
+    idle[server].push_back(std::move(connection));
 }
 
 void backend_pool::impl::sweep()
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -133,11 +133,11 @@
 {
     if (outdated(entry)) return false;
     auto& known = m_backends[entry.id.value()];
-    bool const restarted = known != nullptr && known->entry.started != entry.started;
-    bool const moved = known != nullptr && known->entry.service != entry.service;
-    bool const is_new = known == nullptr || restarted || moved;
+    bool const other =
+        known != nullptr && (known->entry.started != entry.started || known->entry.service != entry.service);
+    if (other) retire(std::exchange(known, nullptr));
+    bool const is_new = known == nullptr;
     if (is_new) {
-        if (known) retire(known);
         known = std::make_shared<backend_server>();
         group(entry.service).backends.push_back(known);
     }
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -55,8 +55,8 @@
             vm.waiting.erase(found);
             reply({answer.status, "", std::move(answer.batch)});
         };
-        hooks.run_at = [this](time_point when, std::function<void()> task) { m_tasks.emplace(when, std::move(task)); };
-        hooks.now = [this] { return m_now; };
+        hooks.run_at = [this](time_point when, std::function<void()> task) { m_todo.at(when, std::move(task)); };
+        hooks.now = [this] { return m_todo.now(); };
         vm.publisher = std::make_unique<state_publisher>(vm.mirror, std::move(hooks));
         feed_io io;
         io.call = [this, i, &vm](feed_call const& call, feed_io::reply_hook const& done) {
@@ -66,9 +66,9 @@
             });
         };
         io.ask = [this, i](feed_call const& call, feed_io::reply_hook const& done) { deliver(i, call, done); };
-        io.now = [this] { return m_now; };
+        io.now = [this] { return m_todo.now(); };
         io.run_at = [this](time_point when, std::function<void()> task) {
-            m_tasks.emplace(std::max(when, m_now), std::move(task));
+            m_todo.at(std::max(when, m_todo.now()), std::move(task));
         };
         feed_events events;
         events.on_snapshot = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.replace(items, as_of); };
@@ -88,24 +88,6 @@
 
 feed_fleet::~feed_fleet() = default;
 
-void feed_fleet::after(clock::duration wait, std::function<void()> task)
-{
-    m_tasks.emplace(m_now + wait, std::move(task));
-}
-
-void feed_fleet::run(milliseconds span)
-{
-    auto const until = m_now + span;
-    while (!m_tasks.empty() && m_tasks.begin()->first <= until) {
-        auto const next = m_tasks.begin();
-        m_now = std::max(m_now, next->first);
-        auto const task = std::move(next->second);
-        m_tasks.erase(next);
-        task();
-    }
-    m_now = until;
-}
-
 void feed_fleet::write(std::string const& key, std::string const& value)
 {
     ++m_revision;
@@ -143,8 +125,8 @@
 
 clock::duration feed_fleet::work(vm_state& vm, clock::duration time) const
 {
-    vm.busy_until = std::max(vm.busy_until, m_now) + time;
-    return vm.busy_until - m_now;
+    vm.busy_until = std::max(vm.busy_until, m_todo.now()) + time;
+    return vm.busy_until - m_todo.now();
 }
 
 void feed_fleet::heal()
--- a/tests/feed_fleet.hpp
+++ b/tests/feed_fleet.hpp
@@ -1,6 +1,8 @@
 /** @file feed_fleet.hpp Many gateways that learn the store's state from it and from each other, in virtual time. */
 #pragma once
 
+#include "emulator/agenda.hpp"
+
 #include <cornelspring/feed.hpp>
 
 namespace cornelspring::testing {
@@ -20,7 +22,7 @@
     feed_fleet(int vms, int domains, std::uint64_t seed);
     ~feed_fleet();
     /** Lets time pass. @param span how much. */
-    void run(milliseconds span);
+    void run(milliseconds span) { m_todo.run_until(m_todo.now() + span); }
     /** Writes a key into the store. @param key key. @param value value. */
     void write(std::string const& key, std::string const& value);
     /** Turns a share of the gateways dark: others get no (good) answer from them, and with refused and silent they
@@ -51,7 +53,7 @@
 private:
     struct vm_state;
     /** Runs @p task after @p wait. */
-    void after(clock::duration wait, std::function<void()> task);
+    void after(clock::duration wait, std::function<void()> task) { m_todo.at(m_todo.now() + wait, std::move(task)); }
     /** @return a random share of the gateways. */
     std::vector<vm_state*> draw(double share);
     /** Takes processor time of a VM. @return how long that takes, with what it does before. */
@@ -70,8 +72,7 @@
         std::shared_ptr<bool> open;             ///< Still waits.
     };
 
-    time_point m_now{std::chrono::seconds(1000)};
-    std::multimap<time_point, std::function<void()>> m_tasks;
+    agenda m_todo;
     state_mirror m_store;
     std::int64_t m_revision = 1;
     std::vector<store_watch> m_watches;
