Review: feed with fewer special cases: one result of the mirror, one choice of the source, one limit for proofs

Change: replace() returns differences as apply() does; removals have an index; an unregistered VM follows like others; the store's proof is taken in; proofs count for 1.2 s while the next round asks others, none twice before all were asked.

--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -72,8 +72,9 @@
 /** A copy of the store's items, with the removals that those who follow this VM may not know yet. */
 class state_mirror {
 public:
-    /** Replaces everything. @param items all items. @param as_of revision. @return keys that are gone. */
-    std::vector<std::string> replace(std::vector<store_item> const& items, std::int64_t as_of);
+    /** Replaces everything. @param items all items. @param as_of revision. @return what differs from what was known,
+     *  the removal of keys that are gone included. */
+    std::vector<store_item> replace(std::vector<store_item> const& items, std::int64_t as_of);
     /**
      * Takes in changes; those older than what is known of their key are left out.
      * @param changes changes, oldest first. @param as_of revision after them. @return the changes taken in.
@@ -99,17 +100,21 @@
     static constexpr std::size_t page_bytes = 48 * 1024;
 
 private:
-    /** Notes that the newest change of @p key is @p revision. */
-    void index(std::string const& key, std::int64_t revision);
+    /** Keys by the revision of their newest change. */
+    using change_index = std::set<std::pair<std::int64_t, std::string>>;
+    /** Takes in one change. */
+    void take(store_item const& change);
+    /** Forgets the oldest removals beyond those that are kept. */
+    void forget_removals();
     /** @return a page from @p revision on. @param with_removals whether removals belong to it. */
     store_batch page(std::int64_t revision, bool with_removals) const;
 
-    std::map<std::string, store_item> m_items;                  ///< By key.
-    std::map<std::string, std::int64_t> m_newest;               ///< Revision of the newest change of each key.
-    std::set<std::pair<std::int64_t, std::string>> m_by_change; ///< The same, by revision.
-    std::size_t m_removals = 0;                                 ///< Removed keys among these.
-    std::int64_t m_complete_from = 0;                           ///< All removals after this revision are known.
-    std::int64_t m_as_of = 0;                                   ///< Revision.
+    std::map<std::string, store_item> m_items;    ///< By key.
+    std::map<std::string, std::int64_t> m_newest; ///< Revision of the newest change of each key.
+    change_index m_by_change;                     ///< The same, by revision.
+    change_index m_removed;                       ///< Of these, the removals.
+    std::int64_t m_complete_from = 0;             ///< All removals after this revision are known.
+    std::int64_t m_as_of = 0;                     ///< Revision.
 };
 
 // ---- Sources ----
@@ -185,9 +190,10 @@
     bool failed(feed_source const& source) const { return m_failed.contains(source.peer_key); }
     /** @return the source that this VM should use. */
     feed_source preferred(member_map const& members) const;
-    /** @return whether this VM is the head of its failure domain. */
+    /** @return whether this VM is the head of its failure domain, or nobody is. */
     bool is_head(member_map const& members) const;
-    /** @return other gateways in random order, near ones first and failure domains by turns; those that failed last. */
+    /** @return other gateways in random order, near ones first and failure domains by turns; those that failed or were
+     *  asked already last. */
     std::vector<feed_source> candidates(member_map const& members);
     /** @return whether a round of a search asks the store too. */
     bool asks_store(member_map const& members, int round);
@@ -195,6 +201,7 @@
     feed_place m_place;                      ///< Where this VM is.
     std::mt19937_64 m_random;                ///< Order of candidates.
     std::map<std::string, failure> m_failed; ///< Failed sources; the store has an empty key.
+    std::set<std::string> m_asked;           ///< Sources asked in this search.
     std::optional<feed_source> m_found;      ///< Found by the last search.
 };
 
@@ -322,6 +329,8 @@
     };
     /** @return @p batch with the age of the copy. */
     follower_answer dated(store_batch batch) const;
+    /** @return what changed after @p revision, or that everything must be read. */
+    follower_answer changes_after(std::int64_t revision) const;
     /** @return that nothing has changed. */
     follower_answer unchanged() const;
 
--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -25,10 +25,13 @@
  *  failure domains, calls to the store cost 0.05 to 0.09 of a day's value at 74 to 89 VMs. */
 constexpr std::size_t most_readers = 2;
 
+/** Heads of failure domains. */
+using head_list = std::vector<member_map::const_iterator>;
+
 /** @return the heads of all failure domains, the first gateways by key that stay. */
-std::vector<member_map::const_iterator> heads_of(member_map const& members)
+head_list heads_of(member_map const& members)
 {
-    std::vector<member_map::const_iterator> heads;
+    head_list heads;
     std::set<domain_name> seen;
     for (auto each = members.begin(); each != members.end(); ++each) {
         if (!each->second.stopping && seen.insert(each->second.domain).second) heads.push_back(each);
@@ -36,6 +39,15 @@
     return heads;
 }
 
+/** @return the head of @p domain among @p heads, or their end. */
+head_list::const_iterator find_domain(head_list const& heads, domain_name const& domain)
+{
+    return std::find_if(heads.begin(), heads.end(), [&](auto head) { return head->second.domain == domain; });
+}
+
+/** @return a gateway as a source. */
+feed_source source_of(member_map::value_type const& member) { return {member.first, member.second.peer}; }
+
 /** @return how far @p member is, for the order in which it is asked. */
 int distance(gateway_member const& member, feed_place const& place)
 {
@@ -63,27 +75,21 @@
 
 bool feed_selector::is_head(member_map const& members) const
 {
-    return std::none_of(members.begin(), members.lower_bound(m_place.self), [this](auto const& each) {
-        return each.second.domain == m_place.domain && !each.second.stopping;
-    });
+    auto const heads = heads_of(members);
+    auto const own = find_domain(heads, m_place.domain);
+    return own == heads.end() || (*own)->first == m_place.self;
 }
 
 feed_source feed_selector::preferred(member_map const& members) const
 {
     auto heads = heads_of(members);
-    if (!is_head(members)) {
-        auto const own = std::find_if(heads.begin(), heads.end(),
-                                      [this](auto head) { return head->second.domain == m_place.domain; });
-        return {(*own)->first, (*own)->second.peer};
-    }
+    auto const own = find_domain(heads, m_place.domain);
+    if (own != heads.end() && (*own)->first != m_place.self) return source_of(**own);
     heads.resize(std::min(heads.size(), most_readers));
-    feed_source chosen{"", m_place.store};
-    for (auto const& reader : heads) {
-        // A head that is not registered yet, or again, reads the store too.
-        if (reader->second.domain == m_place.domain || !members.contains(m_place.self)) return {"", m_place.store};
-        if (chosen.is_store() || reader->second.region == m_place.region) chosen = {reader->first, reader->second.peer};
-    }
-    return chosen;
+    if (heads.empty() || find_domain(heads, m_place.domain) != heads.end()) return {"", m_place.store};
+    auto const near =
+        std::find_if(heads.begin(), heads.end(), [this](auto head) { return head->second.region == m_place.region; });
+    return source_of(**(near == heads.end() ? heads.begin() : near));
 }
 
 std::optional<feed_source> feed_selector::choose(member_map const& members) const
@@ -119,7 +125,7 @@
 {
     /** A gateway with its place in the order. */
     struct ranked {
-        bool failed;        ///< Failed ones come last.
+        bool last;          ///< It failed, or was asked in this search.
         std::size_t turn;   ///< Its number within its failure domain: domains take turns.
         int distance;       ///< Near ones first.
         feed_source source; ///< Gateway.
@@ -129,16 +135,16 @@
         if (each->first != m_place.self && !each->second.stopping) shuffled.push_back(each);
     }
     std::shuffle(shuffled.begin(), shuffled.end(), m_random);
-    std::map<domain_name, std::size_t> live_turns;
+    std::map<domain_name, std::size_t> turns;
     std::vector<ranked> order;
     for (auto const& each : shuffled) {
-        feed_source const source{each->first, each->second.peer};
-        bool const bad = failed(source);
-        auto const turn = bad ? 0 : live_turns[each->second.domain]++;
-        order.push_back({bad, turn, distance(each->second, m_place), source});
+        auto const source = source_of(*each);
+        bool const last = failed(source) || m_asked.contains(source.peer_key);
+        auto const turn = last ? 0 : turns[each->second.domain]++;
+        order.push_back({last, turn, distance(each->second, m_place), source});
     }
     std::stable_sort(order.begin(), order.end(), [](ranked const& left, ranked const& right) {
-        return std::tie(left.failed, left.turn, left.distance) < std::tie(right.failed, right.turn, right.distance);
+        return std::tie(left.last, left.turn, left.distance) < std::tie(right.last, right.turn, right.distance);
     });
     std::vector<feed_source> found;
     for (auto& each : order)
@@ -157,6 +163,7 @@
 
 std::vector<feed_source> feed_selector::search_targets(member_map const& members, int round)
 {
+    if (round == 0) m_asked.clear();
     auto targets = candidates(members);
     if (targets.empty()) {
         for (auto const& seed : m_place.seeds)
@@ -164,6 +171,8 @@
     }
     auto const wanted = round < quick_search_rounds ? first_asks << round : later_asks;
     targets.resize(std::min(targets.size(), wanted));
+    for (auto const& target : targets)
+        m_asked.insert(target.peer_key);
     if (asks_store(members, round)) targets.push_back({"", m_place.store});
     return targets;
 }
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -23,10 +23,11 @@
 /** Time a call may be late before others are asked at the same time: two round trips between regions, and a process
  *  that waits for its turn on a tenth of a core. */
 constexpr milliseconds late_after{250};
-/** Time in which an answer to the question for proof must come, and length of a round of a search. */
-constexpr milliseconds proof_limit{300};
-/** The same for the store, which may be slow. */
-constexpr milliseconds store_proof_limit{1200};
+/** Length of a round of a search: most answers of gateways that are well have come then. */
+constexpr milliseconds round_time{300};
+/** An answer to the question for proof counts so long, also when other sources are being asked already: the store may
+ * be slow, and regions far apart. */
+constexpr milliseconds proof_limit{1200};
 /** A copy that was not confirmed for so long makes this VM ask others: a watch of the store is answered each 1.5 s. */
 constexpr milliseconds search_age{2000};
 /** A copy proves that its holder hears of changes when it was confirmed later than this VM's by so much: neighbours
@@ -54,27 +55,27 @@
 
 /** State of the feed. */
 struct state_feed::impl {
-    feed_selector selector;                ///< Choice of the source.
-    feed_io io;                            ///< Outside calls.
-    feed_events events;                    ///< Hooks.
-    bool is_synced = false;                ///< A full read is complete.
-    bool needs_read = true;                ///< A full read is to be made.
-    std::int64_t position = 0;             ///< Revision up to which changes are known.
-    time_point confirmed_at;               ///< When the copy was current for certain.
-    time_point vouched_at;                 ///< When the present source's copy was, by its own word.
-    bool calling = false;                  ///< The call for state is under way.
-    std::optional<feed_source> asked_last; ///< Where the last call for state went.
-    std::uint64_t call_number = 0;         ///< Tells replies to abandoned calls apart.
-    std::vector<store_item> pages;         ///< Items of the full read under way.
-    std::string next_page;                 ///< Where its next page begins; empty: the first.
-    std::int64_t first_revision = 0;       ///< Revision of its first page.
-    bool searching = false;                ///< A search is under way.
-    std::uint64_t search_number = 0;       ///< Tells replies of earlier searches apart.
-    int round = 0;                         ///< Round of the search.
-    std::size_t asked = 0;                 ///< Questions of the round without a reply.
-    time_point round_began;                ///< When the round began.
-    bool proof_asked = false;              ///< The preferred source is being asked for proof.
-    bool on_trial = false;                 ///< A search found the source, and it has not answered yet.
+    feed_selector selector;                 ///< Choice of the source.
+    feed_io io;                             ///< Outside calls.
+    feed_events events;                     ///< Hooks.
+    bool is_synced = false;                 ///< A full read is complete.
+    bool needs_read = true;                 ///< A full read is to be made.
+    std::int64_t position = 0;              ///< Revision up to which changes are known.
+    time_point confirmed_at;                ///< When the copy was current for certain.
+    time_point vouched_at;                  ///< When the present source's copy was, by its own word.
+    bool calling = false;                   ///< The call for state is under way.
+    std::optional<feed_source> last_source; ///< Where the last call for state went.
+    std::uint64_t call_number = 0;          ///< Tells replies to abandoned calls apart.
+    std::vector<store_item> pages;          ///< Items of the full read under way.
+    std::string next_page;                  ///< Where its next page begins; empty: the first.
+    std::int64_t first_revision = 0;        ///< Revision of its first page.
+    bool searching = false;                 ///< A search is under way.
+    std::uint64_t search_number = 0;        ///< Tells replies of earlier searches apart.
+    int round = 0;                          ///< Round of the search.
+    std::size_t unanswered = 0;             ///< Questions of the round without a reply.
+    time_point round_began;                 ///< When the round began.
+    bool proof_asked = false;               ///< The preferred source is being asked for proof.
+    bool on_trial = false;                  ///< A search found the source, and it has not answered yet.
 
     impl(feed_selector s, feed_io i, feed_events e) : selector(std::move(s)), io(std::move(i)), events(std::move(e)) {}
 
@@ -142,7 +143,7 @@
     }
     auto const call = state_call(*source);
     calling = true;
-    asked_last = source;
+    last_source = source;
     auto const number = ++call_number;
     watch_lateness(call, number);
     io.call(call, [this, number, from = *source](feed_reply const& reply) {
@@ -247,8 +248,7 @@
 
 feed_call state_feed::impl::proof_call(feed_source const& source) const
 {
-    auto const limit = source.is_store() ? store_proof_limit : proof_limit;
-    return {source, feed_question::freshness, "", position, milliseconds(0), limit};
+    return {source, feed_question::freshness, "", position, milliseconds(0), proof_limit};
 }
 
 char const* state_feed::impl::flaw(feed_reply const& reply) const
@@ -293,14 +293,14 @@
 {
     round_began = io.now();
     auto const targets = selector.search_targets(events.members(), round);
-    asked = targets.size();
+    unanswered = targets.size();
     auto const number = search_number;
     for (auto const& target : targets) {
         io.ask(proof_call(target), [this, target, number, of_round = round](feed_reply const& reply) {
             take_proof(target, reply, number, of_round);
         });
     }
-    io.run_at(round_began + proof_limit, [this, number, of_round = round] { end_round(number, of_round); });
+    io.run_at(round_began + round_time, [this, number, of_round = round] { end_round(number, of_round); });
 }
 
 void state_feed::impl::end_round(std::uint64_t number, int ended)
@@ -323,7 +323,7 @@
     bool const wanted = searching && number == search_number;
     // One whose copy is old has not failed: when the store is down for all, it is followed on and hears of its return.
     if (reason != nullptr || !proves_more(reply.batch.age)) {
-        if (wanted && of_round == round && --asked == 0) end_round(number, of_round);
+        if (wanted && of_round == round && --unanswered == 0) end_round(number, of_round);
         return;
     }
     if (!wanted) return;
@@ -331,11 +331,17 @@
     set_searching(false);
     selector.on_found(source);
     vouched_at = io.now() - reply.batch.age;
-    if (asked_last && asked_last != source) failed(*asked_last, calling ? "late" : "its copy was not confirmed lately");
+    if (last_source && last_source != source)
+        failed(*last_source, calling ? "late" : "its copy was not confirmed lately");
     // A late call is given up. A reply of it that is on its way is not needed: this source knows as much.
     ++call_number;
     calling = false;
     next_page.clear();
+    if (source.is_store() && !needs_read) {
+        last_source = source;
+        take(source, reply); // The store proves that it is current by its changes: there is nothing more to ask.
+        return;
+    }
     step();
 }
 
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -30,6 +30,12 @@
     return {200, std::move(batch)};
 }
 
+follower_answer state_publisher::changes_after(std::int64_t revision) const
+{
+    auto changes = m_mirror.changes_after(revision);
+    return changes ? dated(std::move(*changes)) : follower_answer{status_gone, {}};
+}
+
 follower_answer state_publisher::unchanged() const { return dated({{}, m_mirror.as_of(), {}, {}, {}}); }
 
 void state_publisher::ask(request_key key, follower_question const& asked)
@@ -48,9 +54,9 @@
         m_hooks.answer(key, dated(m_mirror.page_after(asked.after)));
         return;
     }
-    auto changes = m_mirror.changes_after(asked.after);
-    if (!changes || !changes->items.empty()) {
-        m_hooks.answer(key, changes ? dated(std::move(*changes)) : follower_answer{status_gone, {}});
+    auto changes = changes_after(asked.after);
+    if (changes.status == status_gone || !changes.batch.items.empty()) {
+        m_hooks.answer(key, std::move(changes));
         return;
     }
     m_watches.push_back({key, asked.after});
@@ -71,10 +77,8 @@
     m_path = std::move(path);
     m_confirmed_at = confirmed_at;
     auto const waiting = std::exchange(m_watches, {});
-    for (auto const& watch : waiting) {
-        auto changes = m_mirror.changes_after(watch.after);
-        m_hooks.answer(watch.key, changes ? dated(std::move(*changes)) : follower_answer{status_gone, {}});
-    }
+    for (auto const& watch : waiting)
+        m_hooks.answer(watch.key, changes_after(watch.after));
 }
 
 } // namespace cornelspring
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -88,6 +88,8 @@
     void on_snapshot(std::vector<store_item> const& items, std::int64_t as_of);
     /** Takes in changes of the store. */
     void on_changes(std::vector<store_item> const& items, std::int64_t as_of);
+    /** Takes over what follows from changes of the copy. */
+    void take_in(std::vector<store_item> const& changes);
     /** Takes over what follows from the set of gateways. */
     void refresh_members();
     /** Takes in one item, or its removal. */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -107,18 +107,18 @@
 
 void gateway::impl::on_snapshot(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    auto const gone = mirror.replace(items, as_of);
-    for (auto const& item : items)
-        on_item(item);
-    for (auto const& key : gone)
-        on_item({key, {}, as_of, true});
-    refresh_members();
+    take_in(mirror.replace(items, as_of));
     if (settings.caller_address) registered->set(member_key(), encode_member(self()));
 }
 
 void gateway::impl::on_changes(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    for (auto const& item : mirror.apply(items, as_of))
+    take_in(mirror.apply(items, as_of));
+}
+
+void gateway::impl::take_in(std::vector<store_item> const& changes)
+{
+    for (auto const& item : changes)
         on_item(item);
     refresh_members();
 }
