An answer of a source that is on its way is waited for, and made once for all followers that wait for it

A search that proves the source alive whose answer is late gave that answer up and asked for it anew; with an answer that takes longer than a late one may (600 KB on 14 Mbit/s: 0.34 s) this went on for ever. An answer that arrives beyond the call's limit was given up too, and each of the followers that wait for the same changes had them encoded for itself.

Change: the answer of a source that proves alive is waited for; the time that counts as late doubles with each source found in vain; a call goes on while its answer arrives, and ends 0.5 s after the last of it; changes are encoded once for all followers that know the same revision.

Tests that fail first: a change of 600 KB in virtual time, not known after 20 s before, within 4 s after; a channel whose answer takes 2 s in pieces (4 checks fail without), and one that stops.

--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -300,7 +300,8 @@
 public:
     /** Calls to the outside. */
     struct hooks {
-        std::function<void(request_key, follower_answer)> answer;      ///< Answers a question.
+        /** Answers questions that have the same answer. */
+        std::function<void(std::vector<request_key> const&, follower_answer)> answer;
         std::function<void(time_point, std::function<void()>)> run_at; ///< Runs a task at a time.
         std::function<time_point()> now;                               ///< Present time.
     };
@@ -308,8 +309,8 @@
     state_publisher(state_mirror const& mirror, hooks outside) : m_mirror(mirror), m_hooks(std::move(outside)) {}
     /** Takes in a question; it is answered now or later. @param key its key. @param asked question. */
     void ask(request_key key, follower_question const& asked);
-    /** The one who asked has left. @param key question. */
-    void forget(request_key key);
+    /** The one who asked has left. @param key question. @return whether it was waiting. */
+    bool forget(request_key key);
     /** The copy was confirmed. @param source by whom. @param confirmed_at when it was current for certain.
      *  @param path gateways between this VM and the store. */
     void on_confirmed(feed_source const& source, time_point confirmed_at, std::vector<std::string> path);
@@ -322,11 +323,6 @@
     milliseconds age() const;
 
 private:
-    /** A follower that waits for changes. */
-    struct pending_watch {
-        request_key key;        ///< Its question.
-        std::int64_t after = 0; ///< Revision up to which it knows.
-    };
     /** @return @p batch with the age of the copy. */
     follower_answer dated(store_batch batch) const;
     /** @return what changed after @p revision, or that everything must be read. */
@@ -334,13 +330,14 @@
     /** @return that nothing has changed. */
     follower_answer unchanged() const;
 
-    state_mirror const& m_mirror;         ///< Copy.
-    hooks m_hooks;                        ///< Outside calls.
-    std::optional<feed_source> m_source;  ///< Confirmed the copy last.
-    time_point m_confirmed_at;            ///< When the copy was current for certain.
-    std::vector<std::string> m_path;      ///< Gateways between this VM and the store.
-    bool m_searching = false;             ///< This VM searches a source.
-    std::vector<pending_watch> m_watches; ///< Followers that wait.
+    state_mirror const& m_mirror;        ///< Copy.
+    hooks m_hooks;                       ///< Outside calls.
+    std::optional<feed_source> m_source; ///< Confirmed the copy last.
+    time_point m_confirmed_at;           ///< When the copy was current for certain.
+    std::vector<std::string> m_path;     ///< Gateways between this VM and the store.
+    bool m_searching = false;            ///< This VM searches a source.
+    /** Followers that wait, by the revision up to which they know. */
+    std::map<std::int64_t, std::vector<request_key>> m_watches;
 };
 
 // ---- Calls between gateways ----
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -41,6 +41,8 @@
     void start(exchange next);
     /** @return whether the connection is established. */
     bool established() const { return m_established; }
+    /** @return bytes received so far. */
+    std::uint64_t received() const { return m_received; }
     /** @return whether it is open and can carry another request. */
     bool reusable() const;
     /** Sets the hook for the end of an idle connection. @param hook called once. */
@@ -72,6 +74,7 @@
     bool m_broken = false;              ///< Must not be used again.
     bool m_used = false;                ///< Carried an exchange before.
     bool m_sent = false;                ///< The request of the exchange was handed to the stream.
+    std::uint64_t m_received = 0;       ///< Bytes received.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Tells deferred work whether this still exists.
     time_point m_kept_until = time_point::max();                  ///< Peer's idle limit.
     time_point m_idle_since;                                      ///< End of the last exchange.
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -21,8 +21,11 @@
 /** Time a watch may be late before it counts as lost. */
 constexpr milliseconds watch_margin{900};
 /** Time a call may be late before others are asked at the same time: two round trips between regions, and a process
- *  that waits for its turn on a tenth of a core. */
+ *  that waits for its turn on a tenth of a core. It doubles with each source found in vain: an answer may simply be
+ * large (a configuration with hundreds of routes more), and one that is given up and asked for anew never arrives. */
 constexpr milliseconds late_after{250};
+/** Most doublings of that time. */
+constexpr int most_late_doublings = 2;
 /** Length of a round of a search: most answers of gateways that are well have come then. */
 constexpr milliseconds round_time{300};
 /** An answer to the question for proof counts so long, also when other sources are being asked already: the store may
@@ -76,6 +79,7 @@
     time_point round_began;                 ///< When the round began.
     bool proof_asked = false;               ///< The preferred source is being asked for proof.
     bool on_trial = false;                  ///< A search found the source, and it has not answered yet.
+    int found_in_vain = 0;                  ///< Sources found since one has answered.
 
     impl(feed_selector s, feed_io i, feed_events e) : selector(std::move(s)), io(std::move(i)), events(std::move(e)) {}
 
@@ -157,8 +161,9 @@
 {
     // A full read takes a while on a small link; begun anew elsewhere, it would never end.
     if (call.question == feed_question::read) return;
-    auto const late_at = io.now() + call.wait + late_after;
-    io.run_at(std::min(late_at, std::max(io.now() + late_after, vouched_at + search_age)), [this, number] {
+    auto const patience = late_after * (1 << std::min(found_in_vain, most_late_doublings));
+    auto const late_at = io.now() + call.wait + patience;
+    io.run_at(std::min(late_at, std::max(io.now() + patience, vouched_at + search_age)), [this, number] {
         if (calling && number == call_number) search();
     });
 }
@@ -179,6 +184,7 @@
         search(); // It is followed on meanwhile: nothing better is known.
         return;
     }
+    found_in_vain = 0;
     events.on_heard(source, is_synced ? unheard : milliseconds(0));
     selector.on_answered(source);
     on_trial = false;
@@ -327,7 +333,12 @@
         return;
     }
     if (!wanted) return;
+    if (calling && last_source == source) {
+        set_searching(false); // Its answer is on the way: the source lives, and asked anew it would only begin again.
+        return;
+    }
     on_trial = true;
+    ++found_in_vain;
     set_searching(false);
     selector.on_found(source);
     vouched_at = io.now() - reply.batch.age;
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -43,32 +43,32 @@
     bool const feeds_this = std::find(m_path.begin(), m_path.end(), asked.from) != m_path.end();
     bool const lost = m_searching && asked.question == feed_question::freshness;
     if (!m_source || feeds_this || lost) {
-        m_hooks.answer(key, {status_unavailable, {}});
+        m_hooks.answer({key}, {status_unavailable, {}});
         return;
     }
     if (asked.question == feed_question::freshness) {
-        m_hooks.answer(key, unchanged());
+        m_hooks.answer({key}, unchanged());
         return;
     }
     if (asked.question == feed_question::read) {
-        m_hooks.answer(key, dated(m_mirror.page_after(asked.after)));
+        m_hooks.answer({key}, dated(m_mirror.page_after(asked.after)));
         return;
     }
     auto changes = changes_after(asked.after);
     if (changes.status == status_gone || !changes.batch.items.empty()) {
-        m_hooks.answer(key, std::move(changes));
+        m_hooks.answer({key}, std::move(changes));
         return;
     }
-    m_watches.push_back({key, asked.after});
+    m_watches[asked.after].push_back(key);
     m_hooks.run_at(m_hooks.now() + std::min(asked.wait, longest_wait), [this, key] {
-        bool const waits = std::erase_if(m_watches, [key](pending_watch const& each) { return each.key == key; }) > 0;
-        if (waits) m_hooks.answer(key, unchanged());
+        if (forget(key)) m_hooks.answer({key}, unchanged());
     });
 }
 
-void state_publisher::forget(request_key key)
+bool state_publisher::forget(request_key key)
 {
-    std::erase_if(m_watches, [key](pending_watch const& each) { return each.key == key; });
+    return std::any_of(m_watches.begin(), m_watches.end(),
+                       [key](auto& each) { return std::erase(each.second, key) > 0; });
 }
 
 void state_publisher::on_confirmed(feed_source const& source, time_point confirmed_at, std::vector<std::string> path)
@@ -76,9 +76,8 @@
     m_source = source;
     m_path = std::move(path);
     m_confirmed_at = confirmed_at;
-    auto const waiting = std::exchange(m_watches, {});
-    for (auto const& watch : waiting)
-        m_hooks.answer(watch.key, changes_after(watch.after));
+    for (auto const& [after, keys] : std::exchange(m_watches, {}))
+        m_hooks.answer(keys, changes_after(after));
 }
 
 } // namespace cornelspring
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -52,6 +52,7 @@
 
 void client_connection::on_bytes(std::string_view bytes)
 {
+    m_received += bytes.size();
     while (!bytes.empty()) {
         if (!m_exchange) { // Bytes that no request waits for belong to nobody.
             m_broken = true;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -79,11 +79,12 @@
 state_publisher::hooks gateway::impl::follower_hooks()
 {
     state_publisher::hooks hooks;
-    hooks.answer = [this](request_key key, follower_answer const& answer) {
+    hooks.answer = [this](std::vector<request_key> const& keys, follower_answer const& answer) {
         http_response response;
         response.status = answer.status;
         if (answer.status == 200) response.body = encode_peer_batch(answer.batch);
-        callers->answer(key, std::move(response));
+        for (auto const key : keys)
+            callers->answer(key, response);
     };
     hooks.run_at = [this](time_point when, std::function<void()> task) { loop.run_at(when, std::move(task)); };
     hooks.now = [this] { return loop.now(); };
--- a/src/gateway/store_channel.cpp
+++ b/src/gateway/store_channel.cpp
@@ -2,6 +2,13 @@
 #include "store_channel.hpp"
 
 namespace cornelspring {
+namespace {
+
+/** An answer that has begun is given up when nothing of it arrives for so long. Large ones take a while on a small
+ * link: given up and asked for anew, they never arrive. */
+constexpr milliseconds progress_limit{500};
+
+} // namespace
 
 void store_channel::call(endpoint const& peer, http_request request, milliseconds limit,
                          std::function<void(exchange_result const&)> done)
@@ -15,10 +22,7 @@
     m_loop.cancel(m_limit);
     auto const number = ++m_call;
     request.headers.insert(request.headers.begin(), {"host", peer.to_string()});
-    m_limit = m_loop.run_at(m_loop.now() + limit, [this, number, done] {
-        m_connection.reset(); // A connection on which an answer is lost returns nothing further.
-        finish(number, {false, true, {}, "no answer in time"}, done);
-    });
+    watch_limit(number, m_connection->received(), limit, done);
     client_connection::exchange exchange;
     exchange.write = [bytes = serialize(request)](time_point) { return bytes; };
     exchange.matches = [](http_response const&) { return client_connection::match::mine; };
@@ -26,6 +30,20 @@
     m_connection->start(std::move(exchange));
 }
 
+void store_channel::watch_limit(std::uint64_t number, std::uint64_t received, milliseconds limit,
+                                std::function<void(exchange_result const&)> const& done)
+{
+    m_limit = m_loop.run_at(m_loop.now() + limit, [this, number, received, done] {
+        auto const by_now = m_connection->received();
+        if (by_now > received) {
+            watch_limit(number, by_now, progress_limit, done);
+            return;
+        }
+        m_connection.reset(); // A connection on which an answer is lost returns nothing further.
+        finish(number, {false, true, {}, "no answer in time"}, done);
+    });
+}
+
 void store_channel::finish(std::uint64_t number, exchange_result result,
                            std::function<void(exchange_result const&)> const& done)
 {
--- a/src/gateway/store_channel.hpp
+++ b/src/gateway/store_channel.hpp
@@ -12,12 +12,16 @@
     explicit store_channel(event_loop& loop) : m_loop(loop) {}
     /**
      * Makes a call. A call still under way is abandoned.
-     * @param peer where to. @param request call. @param limit longest wait. @param done receives the result, later.
+     * @param peer where to. @param request call. @param limit longest wait for the answer to begin; while it arrives,
+     * it is waited for. @param done receives the result, later.
      */
     void call(endpoint const& peer, http_request request, milliseconds limit,
               std::function<void(exchange_result const&)> done);
 
 private:
+    /** Ends the call @p number when nothing has arrived since @p received bytes, else looks again later. */
+    void watch_limit(std::uint64_t number, std::uint64_t received, milliseconds limit,
+                     std::function<void(exchange_result const&)> const& done);
     /** Reports the result of a call, once. */
     void finish(std::uint64_t number, exchange_result result, std::function<void(exchange_result const&)> const& done);
 
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -48,12 +48,14 @@
     for (int i = 0; i < vms; ++i) {
         auto& vm = *m_vms[static_cast<std::size_t>(i)];
         state_publisher::hooks hooks;
-        hooks.answer = [&vm](request_key key, follower_answer answer) {
-            auto const found = vm.waiting.find(key.value());
-            if (found == vm.waiting.end()) return;
-            auto const reply = std::move(found->second);
-            vm.waiting.erase(found);
-            reply({answer.status, "", std::move(answer.batch)});
+        hooks.answer = [&vm](std::vector<request_key> const& keys, follower_answer const& answer) {
+            for (auto const key : keys) {
+                auto const found = vm.waiting.find(key.value());
+                if (found == vm.waiting.end()) continue;
+                auto const reply = std::move(found->second);
+                vm.waiting.erase(found);
+                reply({answer.status, "", answer.batch});
+            }
         };
         hooks.run_at = [this](time_point when, std::function<void()> task) { m_todo.at(when, std::move(task)); };
         hooks.now = [this] { return m_todo.now(); };
--- a/tests/test_state_feed.cpp
+++ b/tests/test_state_feed.cpp
@@ -86,6 +86,16 @@
     CHECK(fleet->time_until_known("config", "2", 10s).count() <= 5000);
 }
 
+TEST_CASE("feed: a change that takes longer to arrive than a late answer may be is waited for, not asked for anew")
+{
+    // A configuration of 600 KB takes 0.34 s on 14 Mbit/s, for a reader, a head and a follower one after the other.
+    auto const fleet = calm_fleet(78, 6, 1);
+    fleet->make_small(1750, 500us);
+    std::string const large(600 * 1024, 'x');
+    fleet->write("config", large);
+    CHECK(fleet->time_until_known("config", large, 20s).count() <= 4000);
+}
+
 TEST_CASE("feed: calls to the store do not grow with the number of gateways, also while some are dark")
 {
     auto const calls_in = [](int vms, auto const& trouble) {
--- /dev/null
+++ b/tests/test_store_channel.cpp
@@ -0,0 +1,62 @@
+/** @file test_store_channel.cpp How long a call to the store or another gateway waits for its answer. */
+#include "gateway/store_channel.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A peer that sends an answer of ten pieces, one each 200 ms, and stops after some of them. */
+struct slow_peer {
+    explicit slow_peer(int pieces_sent)
+        : listener(loop, {"127.0.0.1", 0}, [this, pieces_sent](int socket) {
+              stream_events events;
+              events.on_bytes = [this, pieces_sent](std::string_view) {
+                  stream->send("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n");
+                  for (int i = 0; i < pieces_sent; ++i)
+                      loop.run_at(clock::now() + 200ms * i, [this] { stream->send("0123456789"); });
+              };
+              stream = std::make_unique<tcp_stream>(loop, socket, stream_options{}, std::move(events));
+          })
+    {
+    }
+    /** @return the result of a call with a limit of 300 ms, and the time that it took. */
+    std::pair<exchange_result, clock::duration> ask()
+    {
+        std::pair<exchange_result, clock::duration> outcome;
+        auto const begun = clock::now();
+        store_channel channel(loop);
+        channel.call({"127.0.0.1", listener.port()}, {}, 300ms, [&](exchange_result const& result) {
+            outcome = {result, clock::now() - begun};
+            loop.stop();
+        });
+        loop.run();
+        return outcome;
+    }
+
+    event_loop loop;
+    std::unique_ptr<tcp_stream> stream;
+    tcp_listener listener;
+};
+
+} // namespace
+
+TEST_CASE("channel: an answer that goes on arriving is waited for beyond the limit")
+{
+    slow_peer peer(10);
+    auto const [result, took] = peer.ask();
+    CHECK(result.answered);
+    CHECK(result.response.body.size() == 100);
+    CHECK(took > 1500ms);
+}
+
+TEST_CASE("channel: an answer that begins and stops is given up soon")
+{
+    slow_peer peer(3);
+    auto const [result, took] = peer.ask();
+    CHECK_FALSE(result.answered);
+    CHECK(took > 700ms);
+    CHECK(took < 2000ms);
+}
