While no configuration can be had, callers are told to come back the later the longer it has lasted

Callers were told 0.1 to 0.2 s and had one try left, so that both fell into the outage. Change: as long as it has lasted, 0.1 s at least, 1 s at most, spread up to twice that. Callers with 0.6 to 1.2 s cannot outlast such an outage; nothing can serve them.

--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -15,6 +15,10 @@
  */
 constexpr double starting_retry_after_s = 0.1;
 
+/** Longest of these times, in seconds: callers that wait for 10 s come back in the second in which the configuration is
+ *  there again. */
+constexpr double starting_retry_after_most_s = 1.0;
+
 /** Window of the times that callers of a route still wait; it answers from the first one on. */
 constexpr time_window::sizes deadline_window{256, 1, 16};
 /** Quantile of these that counts as the time that callers wait at first. Of the queries seen, 41 % and more had all of
@@ -40,7 +44,7 @@
     request_summary summary;
     summary.caller_id = message.header(options.names.request_id);
     if (!config) {
-        answer_at_once(key, summary, refusal("no configuration is known yet", starting_retry_after_s), "starting");
+        answer_at_once(key, summary, refusal("no configuration is known yet", starting_wait_s(now)), "starting");
         return;
     }
     summary.version = config->version();
@@ -80,6 +84,15 @@
     check_finish(request, now);
 }
 
+/** What lasts for some time already is taken to last as long again: after a power cut the store may be away for
+ *  seconds, and callers have one more try. */
+double dispatcher::impl::starting_wait_s(time_point now)
+{
+    if (!unconfigured_since) unconfigured_since = now;
+    auto const lasted_s = std::chrono::duration<double>(now - *unconfigured_since).count();
+    return std::clamp(lasted_s, starting_retry_after_s, starting_retry_after_most_s);
+}
+
 /**
  * What the request may have waited unread is taken off its deadline, which backend servers are told, and not off its
  * goal: it is a bound, and a long one on a small VM in the middle of another query's work. Answers that left so much
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -19,6 +19,7 @@
     dispatcher_hooks hooks;                                                 ///< Outside calls.
     std::mt19937_64 random;                                                 ///< Tie breaks and jitter.
     std::size_t vms = 1;                                                    ///< VMs that share budgets.
+    std::optional<time_point> unconfigured_since;                           ///< First request without a configuration.
     std::uint64_t last_attempt = 0;                                         ///< Last attempt id.
     std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> open; ///< By key.
     std::unordered_map<std::uint64_t, open_attempt> attempts;               ///< By id.
@@ -62,6 +63,8 @@
 
     /** Takes in a request: route, deadline, shards, admission, first attempts. */
     void start(request_key key, http_request message, request_timing timing, time_point now);
+    /** @return seconds after which callers come back at least while no configuration is known. */
+    double starting_wait_s(time_point now);
     /** @return the service of a split route for the next request. */
     service_name const& choose_part(route const& via);
     /** Sets deadline and answer time. @return whether enough time is left to begin. */
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -124,6 +124,21 @@
     CHECK(seconds <= 0.8 / 3);
 }
 
+TEST_CASE("dispatcher: the longer no configuration can be had, the later callers are told to come back")
+{
+    dispatcher_fixture fleet({}, nullptr);
+    auto const told = [&fleet] { return std::stod(fleet.answer(fleet.start("/any/", "id")).header("retry-after")); };
+    CHECK(told() <= 0.2);
+    fleet.advance(std::chrono::milliseconds(500));
+    auto const after_half_a_second = told();
+    CHECK(after_half_a_second >= 0.5);
+    CHECK(after_half_a_second <= 1.0);
+    fleet.advance(std::chrono::milliseconds(20000));
+    auto const after_long = told();
+    CHECK(after_long >= 1.0);
+    CHECK(after_long <= 2.0);
+}
+
 TEST_CASE("dispatcher: a request without a route gets 404 and reaches nobody")
 {
     dispatcher_fixture fleet;
