--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -111,8 +111,11 @@
     request.deadline = request.arrived - timing.waited + left - deadline_margin;
     auto spent = options.caller_time ? request.gone + timing.round_trip : clock::duration(0);
     // What is late already has no goal to keep, or its caller simply waits for less time than others.
-    if (spent + options.answer_margin >= request.via->goal) spent = clock::duration(0);
-    request.answer_by = request.arrived + request.via->goal - options.answer_margin - spent;
+    clock::duration const fixed = options.answer_margin;
+    auto const of_goal = std::chrono::duration_cast<clock::duration>(options.answer_margin_share * request.via->goal);
+    auto const margin = std::max(fixed, of_goal);
+    if (spent + margin >= request.via->goal) spent = clock::duration(0);
+    request.answer_by = request.arrived + request.via->goal - margin - spent;
     request.summary.spent = std::chrono::duration_cast<milliseconds>(spent);
     return request.deadline > request.arrived;
 }
--- a/tests/test_caller_time.cpp
+++ b/tests/test_caller_time.cpp
@@ -67,3 +67,12 @@
     dispatcher_fixture fleet;
     CHECK(answered_after(fleet, "id1", {}) == goal - margin);
 }
+
+TEST_CASE("caller time: of a long goal, an answer leaves a twentieth before it")
+{
+    dispatcher_options options;
+    options.answer_margin_share = 0.2; // 40 ms of the goal here, as a twentieth is of 800 ms.
+    dispatcher_fixture fleet(options);
+    CHECK(answered_after(fleet, "id1", waiting("800")) == goal - 40ms);
+    CHECK(dispatcher_options{}.answer_margin_share == doctest::Approx(0.05));
+}
