A change of what all gateways learn is named by those that watch the store, and counted by the others

Change: one line an answer (learned: counts, revision, age); names only at the gateways that watch the store, not for a full read. cornel-trace finds the line about a request's backend server at whichever gateway wrote it. Lines a VM no longer grow with servers times VMs.

--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -10,6 +10,8 @@
 constexpr int request_lines = 100;
 /** The same for lines about the source of the store's state. */
 constexpr int source_lines = 20;
+/** The same for lines about what was learned: an answer of a source each 0.25 s. */
+constexpr int learned_lines = 5;
 
 /** Keys of unreadable items that are remembered, so that each is written once. */
 constexpr std::size_t bad_items_kept = 1000;
@@ -146,6 +148,20 @@
     write({{"event", "member"}, {"member", key}, {"change", change}, {"revision", revision}});
 }
 
+void gateway_log::learned(state_changes const& changes, std::int64_t revision, milliseconds state_age)
+{
+    if (!allowed(m_learned, learned_lines)) return;
+    write({{"event", "learned"},
+           {"ready", changes.ready},
+           {"draining", changes.draining},
+           {"lapsed", changes.lapsed},
+           {"gone", changes.gone},
+           {"joined", changes.joined},
+           {"left", changes.left},
+           {"revision", revision},
+           {"state_age_ms", state_age.count()}});
+}
+
 void gateway_log::process(char const* event) { write({{"event", event}}); }
 
 } // namespace cornelspring
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -5,6 +5,18 @@
 
 namespace cornelspring {
 
+/** What one answer of a source changed: numbers of backend servers by their new state, and of gateways. */
+struct state_changes {
+    int ready = 0;    ///< New, or back.
+    int draining = 0; ///< Leaving.
+    int lapsed = 0;   ///< Without an entry since an outage of the store.
+    int gone = 0;     ///< Removed.
+    int joined = 0;   ///< Gateways that joined.
+    int left = 0;     ///< Gateways that left.
+    /** @return whether anything changed. */
+    bool any() const { return ready + draining + lapsed + gone + joined + left > 0; }
+};
+
 /** Writes the gateway's log lines. Good requests are sampled under load, so that the volume stays bounded. */
 class gateway_log {
 public:
@@ -29,6 +41,13 @@
     void backend(backend_id const& id, char const* state, std::int64_t revision);
     /** A gateway joined or left. @param key its store key. @param change joined or left. @param revision source. */
     void member(std::string const& key, char const* change, std::int64_t revision);
+    /**
+     * The belief about backend servers and gateways changed. Every gateway learns the same, so that those that watch
+     * the store name each change, and all others, and a full read, only say how many and up to which revision: with a
+     * line for each entry at each of 195 VMs, 228,000 lines were written in 26 s.
+     * @param changes how many. @param revision store revision. @param state_age age of the copy.
+     */
+    void learned(state_changes const& changes, std::int64_t revision, milliseconds state_age);
     /** The process started, stops or reloads. @param event which. */
     void process(char const* event);
 
@@ -47,6 +66,7 @@
     log4cplus::Logger m_logger;                     ///< Logger.
     quota m_requests;                               ///< Lines about requests.
     quota m_sources;                                ///< Lines about the source of the store's state.
+    quota m_learned;                                ///< Lines about what was learned from it.
     std::map<std::string, std::string> m_bad_items; ///< Last reason written, by key.
 
     std::uint64_t m_left_out = 0; ///< Lines left out since the last one written.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -38,6 +38,7 @@
         if (other) log.source(source, "used", "", followers.age());
     };
     events.on_heard = [this](feed_source const& source, milliseconds unheard) {
+        watches_store = source.is_store();
         if (source.is_store()) on_store_call(true);
         // A follower may not have called the store itself during an outage.
         if (unheard > fresh_limit) on_store_back();
@@ -109,20 +110,45 @@
 
 void gateway::impl::on_snapshot(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    take_in(mirror.replace(items, as_of));
+    store_changes = 0;
+    take_in(mirror.replace(items, as_of), as_of);
     if (settings.caller_address) registered->set(member_key(), encode_member(self()));
 }
 
 void gateway::impl::on_changes(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    take_in(mirror.apply(items, as_of));
+    store_changes = watches_store ? store_changes + 1 : 0;
+    names_changes = is_store_reader();
+    take_in(mirror.apply(items, as_of), as_of);
+    names_changes = false;
 }
 
-void gateway::impl::take_in(std::vector<store_item> const& changes)
+void gateway::impl::take_in(std::vector<store_item> const& changes, std::int64_t as_of)
 {
     for (auto const& item : changes)
         on_item(item);
     refresh_members();
+    log_changes(as_of);
+}
+
+void gateway::impl::log_changes(std::int64_t revision)
+{
+    if (changed.any()) log.learned(changed, revision, followers.age());
+    changed = {};
+}
+
+void gateway::impl::note_backend(backend_id const& id, char const* state, int state_changes::*count,
+                                 std::int64_t revision)
+{
+    ++(changed.*count);
+    if (names_changes) log.backend(id, state, revision);
+}
+
+void gateway::impl::note_member(std::string const& key, char const* change, int state_changes::*count,
+                                std::int64_t revision)
+{
+    ++(changed.*count);
+    if (names_changes) log.member(key, change, revision);
 }
 
 void gateway::impl::refresh_members()
@@ -168,7 +194,11 @@
 
 void gateway::impl::remove_backend(backend_id const& id, std::int64_t revision)
 {
-    if (registry.remove(id, loop.now())) log.backend(id, registry.find(id) ? "lapsed" : "gone", revision);
+    if (!registry.remove(id, loop.now())) return;
+    if (registry.find(id))
+        note_backend(id, "lapsed", &state_changes::lapsed, revision);
+    else
+        note_backend(id, "gone", &state_changes::gone, revision);
 }
 
 void gateway::impl::on_backend(store_item const& item)
@@ -179,25 +209,32 @@
         return;
     }
     auto const entry = codec.parse_backend(id.value(), item.value);
-    if (registry.apply(entry, loop.now())) log.backend(id, entry.draining ? "draining" : "ready", item.revision);
+    if (!registry.apply(entry, loop.now())) return;
+    if (entry.draining)
+        note_backend(id, "draining", &state_changes::draining, item.revision);
+    else
+        note_backend(id, "ready", &state_changes::ready, item.revision);
 }
 
 void gateway::impl::on_member(store_item const& item)
 {
     if (item.removed) {
         members.erase(item.key);
-        log.member(item.key, "left", item.revision);
+        note_member(item.key, "left", &state_changes::left, item.revision);
         if (item.key == member_key()) registered->on_removed();
         return;
     }
     bool const is_new = members.insert_or_assign(item.key, decode_member(item.value)).second;
-    if (is_new) log.member(item.key, "joined", item.revision);
+    if (is_new) note_member(item.key, "joined", &state_changes::joined, item.revision);
 }
 
 void gateway::impl::expire_lapsed()
 {
+    names_changes = is_store_reader();
     for (auto const& id : registry.expire(loop.now()))
-        log.backend(id, "gone", 0);
+        note_backend(id, "gone", &state_changes::gone, mirror.as_of());
+    names_changes = false;
+    log_changes(mirror.as_of());
 }
 
 } // namespace cornelspring
--- a/src/trace/trace.cpp
+++ b/src/trace/trace.cpp
@@ -33,13 +33,15 @@
 }
 
 /** @return whether an event belongs into the trace of a request. */
-bool concerns(json const& event, json const& request)
+bool concerns(log_record const& event, log_record const& request)
 {
-    auto const kind = event.value("event", "");
+    auto const kind = event.fields.value("event", "");
+    // What became of a backend server is named by the gateways that watch the store, and learned by all.
     if (kind == "backend") {
-        return request.value("failures", std::string()).find(event.value("backend", "-")) != std::string::npos;
+        auto const failures = request.fields.value("failures", std::string());
+        return failures.find(event.fields.value("backend", "-")) != std::string::npos;
     }
-    return kind != "request" && kind != "refused" && kind != "member";
+    return event.source == request.source && kind != "request" && kind != "refused" && kind != "member";
 }
 
 /** Writes one record as a line. */
@@ -120,8 +122,7 @@
             << (cause.empty() ? "served" : cause) << "\n";
         for (auto const& event : records) {
             bool const near = event.at_s >= arrived_s - seconds_before && event.at_s <= record.at_s;
-            if (near && event.source == record.source && concerns(event.fields, record.fields))
-                write_line(event, arrived_s, out);
+            if (near && concerns(event, record)) write_line(event, arrived_s, out);
         }
         write_line(record, arrived_s, out);
     }
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -248,6 +248,34 @@
     }));
 }
 
+TEST_CASE("a change is named in the log of the gateway that watches the store, and counted in those of the others")
+{
+    gateway_fleet fleet;
+    auto const lines = [&fleet](int number, std::string const& part) {
+        std::istringstream log(read_file(fleet.processes.path("gw-" + std::to_string(number) + ".log")));
+        int found = 0;
+        for (std::string line; std::getline(log, line);)
+            found += line.find(part) != std::string::npos ? 1 : 0;
+        return found;
+    };
+    for (int const number : {1, 2, 3})
+        fleet.start_gateway(number);
+    std::this_thread::sleep_for(2s); // The others follow the first one by now.
+    for (int const number : {1, 2, 3}) {
+        CHECK(lines(number, R"("event":"backend")") == 0); // A full read is counted.
+        CHECK(lines(number, R"("event":"learned")") >= 1);
+    }
+    auto entry = fleet.entries()["i-s-0"];
+    entry["state"] = "draining";
+    entry["seq"] = 1000;
+    fleet.register_backend("i-s-0", entry);
+    CHECK(within_ten_seconds([&] { return lines(1, R"("state":"draining")") == 1; }));
+    for (int const number : {2, 3}) {
+        CHECK(within_ten_seconds([&] { return lines(number, R"("draining":1)") == 1; }));
+        CHECK(lines(number, R"("event":"backend")") == 0);
+    }
+}
+
 TEST_CASE("entries that lapse in a store outage are used on until they are back, also by followers")
 {
     gateway_fleet fleet;
--- a/tests/test_trace.cpp
+++ b/tests/test_trace.cpp
@@ -63,6 +63,23 @@
     CHECK_FALSE(write_trace(records(), "absent", out));
 }
 
+TEST_CASE("trace: what became of a backend server is found at whichever gateway names it")
+{
+    std::istringstream in(R"(
+  1.0 gw-1 {"ts":101.0,"event":"learned","ready":0,"draining":0,"lapsed":0,"gone":1,"joined":0,"left":0,"revision":9}
+  1.0 gw-2 {"ts":101.0,"event":"backend","backend":"i-1","state":"gone","revision":9}
+  1.0 gw-2 {"ts":101.0,"event":"learned","ready":1,"draining":0,"lapsed":0,"gone":0,"joined":0,"left":0,"revision":8}
+  1.5 gw-1 {"ts":101.5,"event":"request","id":"r1","reason":"failed","status":502,"ms":9.0,"failures":"i-1:lost:reset "}
+)");
+    std::vector<log_record> found;
+    read_log(in, "file", found);
+    std::ostringstream out;
+    CHECK(write_trace(found, "r1", out));
+    CHECK(out.str().find("gw-2  backend=i-1") != std::string::npos);
+    CHECK(out.str().find("revision=9") != std::string::npos);
+    CHECK(out.str().find("revision=8") == std::string::npos);
+}
+
 TEST_CASE("trace: every way a request can end has a cause")
 {
     for (char const* reason : {"partial", "starting", "no_route", "no_time", "overloaded", "no_room", "caller_gone",
