A frozen server of the tests reads nothing that is sent after it was frozen

The server's thread waits for bytes when it is told to freeze; woken late, it found the news and the bytes that came after it at once, and read them. The fault was in the fault injection, not in the write path: the store did serve the claim. Change: whether it is frozen is asked again before it accepts or reads.

--- a/src/transport/h2_server.cpp
+++ b/src/transport/h2_server.cpp
@@ -323,10 +323,12 @@
         auto const wait = std::chrono::duration_cast<milliseconds>(next_tick - clock::now()).count();
         poll(fds.data(), fds.size(), static_cast<int>(std::max<long>(0, wait)));
         if (fds[0].revents != 0) queue->run_all();
-        if (first_connection > 1 && fds[1].revents != 0) accept_all();
+        if (first_connection > 1 && fds[1].revents != 0 && !frozen) accept_all();
         for (std::size_t i = first_connection; i < fds.size(); ++i) {
             auto& connection = *polled[i - first_connection];
-            if (fds[i].revents & (POLLIN | POLLHUP | POLLERR)) read_from(connection);
+            // It may have been frozen while this thread waited; what was sent after that stays unread.
+            bool const readable = !frozen && (fds[i].revents & POLLIN) != 0;
+            if (readable || (fds[i].revents & (POLLHUP | POLLERR)) != 0) read_from(connection);
             if (!connection.broken) flush(connection);
         }
         close_broken();
--- a/tests/test_transport_contract.cpp
+++ b/tests/test_transport_contract.cpp
@@ -79,6 +79,25 @@
     }
 }
 
+TEST_CASE("a server reads nothing that is sent after it was frozen, however late its thread wakes")
+{
+    // The thread waits for bytes when it is frozen, and may wake to both the news and the bytes.
+    constexpr int rounds = 200;
+    constexpr milliseconds patience{4};
+    test_server server;
+    h2_client client;
+    int read_while_frozen = 0;
+    for (int i = 0; i < rounds; ++i) {
+        REQUIRE(client.call(server.address(), ping_request(), far_deadline).outcome == send_outcome::answered);
+        server.server.set_frozen(true);
+        int const before = server.received;
+        client.call(server.address(), ping_request(), patience);
+        if (server.received != before) ++read_while_frozen;
+        server.server.set_frozen(false);
+    }
+    CHECK(read_while_frozen == 0);
+}
+
 TEST_CASE("nothing listening is reported as not sent")
 {
     std::uint16_t port = 0;
