Review: moving averages, size order and feed statuses once; log of changes without flags; ranks of routes once a version

The weight of a sample by time and the decay by half-lives stood in admission, shard outlook and server load each; the order of gateways by size in the feed and in address answers; the feed's statuses twice. Log lines of changes went through four members of the gateway. A turn's batch was copied for each piece that followers are told. A crash in the emulator ended its work in the order of addresses in memory, so that a run might not repeat. Change: sample_weight and decayed(); larger_first(); feed_status; learned_change and one log call; route::most_urgent, set by serving_config; pieces told without a copy and without a case for an unknown link; the emulator draws what a fault strikes once and keeps its work in order. Comments: the share of a link that queries take is the one measured (up to 80 KB in 0.1 s on 20 Mbit/s), one failure stops refusing after two seconds, not one; 'value' in place of another word.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -43,7 +43,7 @@
  * shards have answered, against what is usual and what its goal leaves. A few slow or dead backend servers do not show
  * in the half that answers first. A share works at any number of VMs, where a bound on each VM's open queries cannot
  * go below one: seven VMs with four each already queue for 200 ms. Compared with such a bound, 18 seconds of 2.2 times
- * the load on seven VMs: 0.57 of the credit earned, 0.47 with the bound; 2,106 queries in time, 1,438 with the bound.
+ * the load on seven VMs: 0.57 of the value earned, 0.47 with the bound; 2,106 queries in time, 1,438 with the bound.
  */
 class admission_control {
 public:
--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -66,6 +66,9 @@
 };
 /** Gateways by store key. */
 using member_map = std::map<std::string, gateway_member>;
+/** @return whether @p left is chosen before @p right for what costs a VM work: the larger one, of equal ones the first
+ *  by key. */
+bool larger_first(member_map::value_type const& left, member_map::value_type const& right);
 
 // ---- Copy ----
 
@@ -209,6 +212,13 @@
 
 // ---- Feed ----
 
+/** Statuses that a source answers with. */
+namespace feed_status {
+inline constexpr int ok = 200;          ///< The answer is there.
+inline constexpr int gone = 410;        ///< Everything must be read anew: the history from there on is forgotten.
+inline constexpr int unavailable = 503; ///< No copy, no source, or the asking gateway is itself the source.
+} // namespace feed_status
+
 /** What a feed asks of a source. */
 enum class feed_question {
     read,      ///< A page of everything.
@@ -228,9 +238,9 @@
 
 /** What came back. */
 struct feed_reply {
-    int status = 0;          ///< HTTP status; 0: no answer.
+    int status = 0;          ///< See feed_status; 0: no answer.
     char const* reason = ""; ///< Why there is no answer.
-    store_batch batch;       ///< The answer when status is 200.
+    store_batch batch;       ///< The answer when there is one.
 };
 
 /** Calls of a feed to the outside; a test plays them in virtual time. */
@@ -288,9 +298,9 @@
 
 /** What it is answered. */
 struct follower_answer {
-    int status = 200;  ///< HTTP status.
-    store_batch batch; ///< The answer when status is 200.
-    std::string body;  ///< The same as bytes, made once for all followers that are told it.
+    int status = feed_status::ok; ///< Status.
+    store_batch batch;            ///< The answer when there is one.
+    std::string body;             ///< The same as bytes, made once for all followers that are told it.
 };
 
 /**
@@ -305,7 +315,7 @@
  */
 class state_publisher {
 public:
-    /** Calls to the outside. */
+    /** Calls to the outside; they must not call back. */
     struct hooks {
         std::function<std::string(store_batch const&)> encode; ///< Makes the bytes of an answer.
         /** Answers questions that have the same answer. */
@@ -346,8 +356,8 @@
     void serve_turns();
     /** Makes the answer of a turn, anew when it says too much of its age. */
     void make_answer(turn& of, time_point now) const;
-    /** @return how many of @p followers may be sent @p bytes each in one piece. */
-    std::size_t piece(std::size_t followers, std::size_t bytes) const;
+    /** Answers some of the followers of a turn, as many as one piece holds. */
+    void tell_piece(turn& of, time_point now);
     /** @return @p batch with the age of the copy. */
     follower_answer dated(store_batch batch) const;
     /** @return what changed after @p revision, or that everything must be read. */
@@ -361,7 +371,6 @@
     time_point m_confirmed_at;           ///< When the copy was current for certain.
     std::vector<std::string> m_path;     ///< Gateways between this VM and the store.
     bool m_searching = false;            ///< This VM searches a source.
-    bool m_limited = false;              ///< The link's rate is known.
     uplink_backlog m_share;              ///< The share of the link, as a link of its own.
     std::deque<turn> m_turns;            ///< Followers to be told something, first come first served.
     bool m_turn_planned = false;         ///< serve_turns() will run.
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -34,6 +34,21 @@
 /** Version of the operators' configuration; grows with every change. */
 using config_version = strong_id<struct config_version_tag, std::int64_t>;
 
+// ---- Moving averages ----
+
+/** How much a new sample counts in a moving average over time: the more, the longer ago the last one was. */
+struct sample_weight {
+    milliseconds average{1000}; ///< Time over which samples are averaged.
+    double least = 0.1;         ///< Weight of a sample right after another.
+    double most = 0.5;          ///< Weight of one after a long pause.
+    /** @return the weight. @param gap time since the sample before. */
+    double after(clock::duration gap) const;
+};
+
+/** @return what is left of 1 after @p age when half of it goes in each @p half_life. @param age time that has gone.
+ *  @param half_life time. */
+double decayed(clock::duration age, milliseconds half_life);
+
 // ---- Configuration ----
 
 /** What may be repeated. */
@@ -64,6 +79,7 @@
     milliseconds timeout{1000};               ///< Longest time a caller may be kept waiting.
     milliseconds goal{1000};                  ///< Time within which an answer is worth its full value.
     int priority = 0;                         ///< Rank; 0 is the highest.
+    bool most_urgent = true;                  ///< No other route over the same shards ranks higher; by serving_config.
     int attempts = 1;                         ///< Most backend servers one request (of one shard) may run on.
     std::vector<split_part> split;            ///< Services that share the requests; one for a plain route.
     std::optional<gather_spec> gather;        ///< Set for a route over shards; split is then empty.
--- a/src/dispatch/admission_control.cpp
+++ b/src/dispatch/admission_control.cpp
@@ -16,12 +16,10 @@
 /** Strain at which next to none is let in. */
 constexpr double full_strain = 0.9;
 /** Strain above which a second attempt at a slow shard only adds to the queue that makes it slow. With 0.16 calm days
- * lost 0.003 of the credit (4 seeds each), for next to nothing more under load. */
+ * lost 0.003 of the value (4 seeds each), for next to nothing more under load. */
 constexpr double congested_strain = 0.25;
 /** Least share let in: without answers, the wait would never be seen to end. */
 constexpr double least_share = 0.05;
-/** Time over which waits are averaged: about one goal, so that one slow query refuses nobody. */
-constexpr double average_ms = 300;
 /** Without samples the wait is taken to halve in this time at least, as the queues empty, */
 constexpr double shortest_half_life_ms = 300;
 /** and in the time of so many queries: a VM that sees few must not forget the queue between two of them. Emulated, 70
@@ -31,11 +29,10 @@
 constexpr double gap_weight = 0.1;
 /** Longest gap that counts, so that an idle night is forgotten within some queries. */
 constexpr double longest_gap_ms = 1000;
-/** Bounds of a sample's weight: many samples are averaged, and a single one after a pause does not decide alone.
- * Emulated, 70 VMs with few queries each, 2.5 times the load: 0.09 of the value with at most 0.7, 0.23 with 0.3. */
-constexpr double least_weight = 0.1;
-/** See least_weight. */
-constexpr double most_weight = 0.3;
+/** Waits are averaged over about one goal, so that one slow query refuses nobody; a single one after a pause does not
+ * decide alone. Emulated, 70 VMs with few queries each, 2.5 times the load: 0.09 of the value with a weight of at most
+ * 0.7, 0.23 with 0.3. */
+constexpr sample_weight wait_weight{milliseconds(300), 0.1, 0.3};
 /** Part of the goal that the usual wait may take at most; more than that is a queue that has always been there. */
 constexpr double most_usual_share = 0.35;
 /** How fast the usual wait follows a longer one, for each sample: over some hundred seconds of ordinary load. */
@@ -105,8 +102,7 @@
 {
     on_ended(begun);
     double const sample = ms_of(now - begun);
-    double const weight = std::clamp(1 - std::exp(-ms_of(now - m_sampled_at) / average_ms), least_weight, most_weight);
-    m_wait_ms += weight * (sample - m_wait_ms);
+    m_wait_ms += wait_weight.after(now - m_sampled_at) * (sample - m_wait_ms);
     m_usual_ms = std::min(m_wait_ms, m_usual_ms + usual_rise * (m_wait_ms - m_usual_ms));
     m_sampled_at = now;
 }
--- a/src/dispatch/coverable_share.cpp
+++ b/src/dispatch/coverable_share.cpp
@@ -6,8 +6,8 @@
 namespace cornelspring {
 namespace {
 
-/** Shards that answer this share of the queries or more refuse none: one failure that is older than a second, or one
- *  answer after it, says nothing of load. */
+/** Shards that answer this share of the queries or more refuse none: one failure that is two seconds old, or that was
+ *  followed by an answer, says nothing of load. */
 constexpr double full_share = 0.8;
 /** Least share let in, so that a shard that is well again is noticed. */
 constexpr double least_share = 0.1;
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -96,7 +96,7 @@
 /**
  * What the request may have waited unread is taken off its deadline, which backend servers are told, and not off its
  * goal: it is a bound, and a long one on a small VM in the middle of another query's work. Answers that left so much
- * earlier lacked shards: 0.890 of the credit in place of 0.929 on a calm day with 90 shards.
+ * earlier lacked shards: 0.890 of the value in place of 0.929 on a calm day with 90 shards.
  */
 bool dispatcher::impl::set_deadline(request_state& request, request_timing timing)
 {
@@ -238,10 +238,7 @@
     asked.returning = request.returning;
     if (options.by_coverage) asked.most_share = coverable(request, now);
     request.summary.coverable_share = asked.most_share;
-    for (auto const& other : request.config->routes()) {
-        bool const same = other.gather && other.gather->shards == request.via->gather->shards;
-        if (same && other.priority < request.via->priority) asked.most_urgent = false;
-    }
+    asked.most_urgent = request.via->most_urgent;
     auto const decision = control.admit(asked, std::uniform_real_distribution<double>(0, 1)(random), now);
     request.summary.wait_ms = decision.wait_ms;
     request.summary.admitted_share = decision.share;
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -58,8 +58,9 @@
     }
     void plan_faults();
     /** @return the backend servers that a fault strikes. */
-    std::vector<std::size_t> struck_by(emulated_fault const& fault) const;
-    void apply_fault(emulated_fault const& fault, bool begins);
+    std::vector<modelled_server*> struck_by(emulated_fault const& fault, std::uint64_t seed) const;
+    /** Begins or ends a fault. */
+    void apply_fault(emulated_fault const& fault, std::vector<modelled_server*> const& struck, bool begins);
 
     emulated_deployment m_deployment;                        ///< Input.
     agenda m_todo;                                           ///< Time.
@@ -312,27 +313,28 @@
 
 void model::plan_faults()
 {
+    auto draw_seed = m_deployment.seed * 1000; // Drawn apart from all else, so that a fault more changes no other draw.
     for (auto const& fault : m_deployment.faults) {
-        m_todo.at(epoch + from_ms(fault.at_s * 1000), [this, &fault] { apply_fault(fault, true); });
-        m_todo.at(epoch + from_ms((fault.at_s + fault.for_s) * 1000), [this, &fault] { apply_fault(fault, false); });
+        auto const struck = struck_by(fault, draw_seed++);
+        m_todo.at(epoch + from_ms(fault.at_s * 1000), [=, this, &fault] { apply_fault(fault, struck, true); });
+        m_todo.at(epoch + from_ms((fault.at_s + fault.for_s) * 1000),
+                  [=, this, &fault] { apply_fault(fault, struck, false); });
     }
 }
 
-std::vector<std::size_t> model::struck_by(emulated_fault const& fault) const
+std::vector<modelled_server*> model::struck_by(emulated_fault const& fault, std::uint64_t seed) const
 {
-    std::vector<std::size_t> order(m_servers.size());
-    for (std::size_t i = 0; i < order.size(); ++i) {
+    std::vector<modelled_server*> order;
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
         // Spread over the shards: a stride that is coprime to their number.
-        order[i] = (i * 7 + 3) % order.size();
+        order.push_back(m_servers[(i * 7 + 3) % m_servers.size()].get());
     }
-    auto const number = static_cast<std::uint64_t>(&fault - m_deployment.faults.data());
-    std::mt19937_64 draw(m_deployment.seed * 1000 + number); // The same servers at its begin and at its end.
-    if (fault.scattered) std::shuffle(order.begin(), order.end(), draw);
+    if (fault.scattered) std::shuffle(order.begin(), order.end(), std::mt19937_64(seed));
     order.resize(static_cast<std::size_t>(fault.share * static_cast<double>(order.size())));
     return order;
 }
 
-void model::apply_fault(emulated_fault const& fault, bool begins)
+void model::apply_fault(emulated_fault const& fault, std::vector<modelled_server*> const& struck, bool begins)
 {
     if (fault.kind == "burst") {
         for (auto& factor : m_rate_factor)
@@ -345,11 +347,10 @@
             boot(*vm);
         return;
     }
-    for (auto const struck : struck_by(fault)) {
-        auto& server = *m_servers[struck];
-        if (fault.kind == "slow") server.slowdown *= begins ? fault.x : 1 / fault.x;
-        if (fault.kind == "dark") server.dark = begins;
-        if (fault.kind == "crash") server.crash(begins);
+    for (auto* server : struck) {
+        if (fault.kind == "slow") server->slowdown *= begins ? fault.x : 1 / fault.x;
+        if (fault.kind == "dark") server->dark = begins;
+        if (fault.kind == "crash") server->crash(begins);
     }
 }
 
--- a/src/emulator/modelled_server.hpp
+++ b/src/emulator/modelled_server.hpp
@@ -36,7 +36,7 @@
             work->done(attempt_end::not_sent);
             return;
         }
-        if (m_running >= m_deployment.slots && m_queue.size() >= static_cast<std::size_t>(m_deployment.queue)) {
+        if (m_at_work.size() >= slots() && m_queue.size() >= static_cast<std::size_t>(m_deployment.queue)) {
             work->done(attempt_end::not_executed);
             return;
         }
@@ -48,14 +48,12 @@
     {
         crashed = now_crashed;
         if (!crashed) return;
-        for (auto const& work : std::exchange(m_queue, {})) {
+        auto lost = std::exchange(m_queue, {});
+        lost.insert(lost.end(), m_at_work.begin(), m_at_work.end());
+        m_at_work.clear();
+        for (auto const& work : lost) {
             if (!work->cancelled) work->done(attempt_end::lost);
         }
-        ++m_life;
-        for (auto const& work : std::exchange(m_at_work, {})) {
-            if (!work->cancelled) work->done(attempt_end::lost);
-        }
-        m_running = 0;
     }
     double slowdown = 1;  ///< Factor on the work.
     bool dark = false;    ///< Neither answers nor works.
@@ -76,37 +74,35 @@
     }
     void start_some()
     {
-        while (m_running < m_deployment.slots && !m_queue.empty() && m_todo.now() >= m_paused_until) {
+        while (m_at_work.size() < slots() && !m_queue.empty() && m_todo.now() >= m_paused_until) {
             auto work = std::move(m_queue.front());
             m_queue.pop_front();
             if (work->cancelled) continue;
-            ++m_running;
-            m_at_work.insert(work);
-            m_todo.at(m_todo.now() + from_ms(work->work_ms * slowdown),
-                      [this, work, life = m_life] { finish(work, life); });
+            m_at_work.push_back(work);
+            m_todo.at(m_todo.now() + from_ms(work->work_ms * slowdown), [this, work] { finish(work); });
         }
     }
-    void finish(std::shared_ptr<job> const& work, int life)
+    void finish(std::shared_ptr<job> const& work)
     {
-        if (life != m_life) return;          // It has crashed meanwhile.
-        if (m_todo.now() < m_paused_until) { // A pause holds up what runs, too.
-            m_todo.at(m_paused_until, [this, work, life] { finish(work, life); });
+        auto const found = std::find(m_at_work.begin(), m_at_work.end(), work);
+        if (found == m_at_work.end()) return; // The server has crashed meanwhile.
+        if (m_todo.now() < m_paused_until) {  // A pause holds up what runs, too.
+            m_todo.at(m_paused_until, [this, work] { finish(work); });
             return;
         }
-        --m_running;
-        m_at_work.erase(work);
+        m_at_work.erase(found);
         if (!work->cancelled && !dark) work->done(attempt_end::answered);
         start_some();
     }
 
-    agenda& m_todo;                           ///< Time.
-    emulated_deployment const& m_deployment;  ///< Sizes.
-    std::mt19937_64& m_random;                ///< Pauses.
-    std::deque<std::shared_ptr<job>> m_queue; ///< Waiting.
-    std::set<std::shared_ptr<job>> m_at_work; ///< At work.
-    int m_running = 0;                        ///< How many these are.
-    int m_life = 0;                           ///< Counts crashes.
-    time_point m_paused_until;                ///< Pause.
+    std::size_t slots() const { return static_cast<std::size_t>(m_deployment.slots); }
+
+    agenda& m_todo;                              ///< Time.
+    emulated_deployment const& m_deployment;     ///< Sizes.
+    std::mt19937_64& m_random;                   ///< Pauses.
+    std::deque<std::shared_ptr<job>> m_queue;    ///< Waiting.
+    std::vector<std::shared_ptr<job>> m_at_work; ///< At work, in order of their beginning.
+    time_point m_paused_until;                   ///< Pause.
 };
 
 } // namespace cornelspring
--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -28,13 +28,6 @@
 /** Heads of failure domains. */
 using head_list = std::vector<member_map::const_iterator>;
 
-/** @return whether @p left leads @p right as head: the larger VM, of equal ones the first by key. */
-bool leads(member_map::const_iterator left, member_map::const_iterator right)
-{
-    if (left->second.capacity != right->second.capacity) return left->second.capacity > right->second.capacity;
-    return left->first < right->first;
-}
-
 /** @return the heads of all failure domains, the largest gateways that stay, in key order. */
 head_list heads_of(member_map const& members)
 {
@@ -42,7 +35,7 @@
     for (auto each = members.begin(); each != members.end(); ++each) {
         if (each->second.stopping) continue;
         auto const [head, is_first] = by_domain.try_emplace(each->second.domain, each);
-        if (!is_first && leads(each, head->second)) head->second = each;
+        if (!is_first && larger_first(*each, *head->second)) head->second = each;
     }
     head_list heads;
     for (auto const& [domain, head] : by_domain)
@@ -69,6 +62,12 @@
 
 } // namespace
 
+bool larger_first(member_map::value_type const& left, member_map::value_type const& right)
+{
+    if (left.second.capacity != right.second.capacity) return left.second.capacity > right.second.capacity;
+    return left.first < right.first;
+}
+
 feed_selector::feed_selector(feed_place place, std::uint64_t seed) : m_place(std::move(place)), m_random(seed) {}
 
 void feed_selector::on_failed(feed_source const& source, time_point now)
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -49,10 +49,6 @@
 /** Time from a full read of the store to the first watch. When all VMs start they register within half a second; a VM
  * that waits hears of all of them in one answer and follows one from then on, in place of reading the store again. */
 constexpr milliseconds settle_gap{400};
-/** Status of a watch whose history is gone. */
-constexpr int status_gone = 410;
-/** Status of a success. */
-constexpr int status_ok = 200;
 
 } // namespace
 
@@ -193,8 +189,8 @@
 
 void state_feed::impl::take(feed_source const& source, feed_reply const& reply)
 {
-    if (reply.status != status_ok) {
-        bool const gone = !needs_read && reply.status == status_gone;
+    if (reply.status != feed_status::ok) {
+        bool const gone = !needs_read && reply.status == feed_status::gone;
         if (gone)
             needs_read = true;
         else
@@ -260,8 +256,8 @@
 char const* state_feed::impl::flaw(feed_reply const& reply) const
 {
     if (reply.status == 0) return reply.reason;
-    if (reply.status == status_gone) return nullptr; // The store answers; its history must be read anew.
-    if (reply.status != status_ok) return "refused";
+    if (reply.status == feed_status::gone) return nullptr; // The store answers; its history must be read anew.
+    if (reply.status != feed_status::ok) return "refused";
     return reply.batch.as_of < position ? "its copy is older" : nullptr;
 }
 
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -10,27 +10,17 @@
 constexpr milliseconds longest_wait{5000};
 /** Age before the first copy. */
 constexpr milliseconds never{-1};
-/** Share of the link that followers get; the rest is for callers and their requests at backend servers, which take
- * about a twentieth of a link of 20 Mbit/s. */
+/** Share of the link that followers get. The rest is for callers and their requests at backend servers: a VM on a link
+ * of 20 Mbit/s that fans queries out to 129 shards hands out up to a third of it. */
 constexpr double link_share = 0.5;
 /** Bytes told in one piece: 50 ms of that share on 20 Mbit/s, so that a request waits behind one of them at most. */
 constexpr std::size_t piece_bytes = 64 * 1024;
 /** An answer is told for so long before it is made anew: it says how old the copy was when it was made. */
 constexpr milliseconds answer_lifetime{100};
-/** Status of a success. */
-constexpr int status_ok = 200;
-/** Status while there is no copy, no source, or when the follower itself is the source. */
-constexpr int status_unavailable = 503;
-/** Status when the follower must read everything anew. */
-constexpr int status_gone = 410;
 
 } // namespace
 
-void state_publisher::set_uplink(double bytes_per_s)
-{
-    m_limited = bytes_per_s > 0;
-    m_share = uplink_backlog(link_share * bytes_per_s);
-}
+void state_publisher::set_uplink(double bytes_per_s) { m_share = uplink_backlog(link_share * bytes_per_s); }
 
 milliseconds state_publisher::age() const
 {
@@ -42,13 +32,13 @@
 {
     batch.age = age();
     batch.path = m_path;
-    return {status_ok, std::move(batch), {}};
+    return {feed_status::ok, std::move(batch), {}};
 }
 
 follower_answer state_publisher::changes_after(std::int64_t revision) const
 {
     auto changes = m_mirror.changes_after(revision);
-    return changes ? dated(std::move(*changes)) : follower_answer{status_gone, {}, {}};
+    return changes ? dated(std::move(*changes)) : follower_answer{feed_status::gone, {}, {}};
 }
 
 follower_answer state_publisher::unchanged() const
@@ -63,7 +53,7 @@
     bool const feeds_this = std::find(m_path.begin(), m_path.end(), asked.from) != m_path.end();
     bool const lost = m_searching && asked.question == feed_question::freshness;
     if (!m_source || feeds_this || lost) {
-        m_hooks.answer({key}, {status_unavailable, {}, {}});
+        m_hooks.answer({key}, {feed_status::unavailable, {}, {}});
         return;
     }
     if (asked.question == feed_question::freshness) {
@@ -88,14 +78,20 @@
     if (of.made_at != time_point{} && now < of.made_at + answer_lifetime) return;
     bool const read = of.asked.question == feed_question::read;
     of.answer = read ? dated(m_mirror.page_after(of.asked.after)) : changes_after(of.asked.after);
-    if (of.answer.status == status_ok) of.answer.body = m_hooks.encode(of.answer.batch);
+    if (of.answer.status == feed_status::ok) of.answer.body = m_hooks.encode(of.answer.batch);
     of.made_at = now;
 }
 
-std::size_t state_publisher::piece(std::size_t followers, std::size_t bytes) const
+void state_publisher::tell_piece(turn& of, time_point now)
 {
-    if (!m_limited || bytes == 0) return followers;
-    return std::clamp<std::size_t>(piece_bytes / bytes, 1, followers);
+    make_answer(of, now);
+    auto const fitting = piece_bytes / std::max<std::size_t>(of.answer.body.size(), 1);
+    auto const told =
+        of.keys.begin() + static_cast<std::ptrdiff_t>(std::clamp<std::size_t>(fitting, 1, of.keys.size()));
+    std::vector<request_key> const keys(of.keys.begin(), told);
+    of.keys.erase(of.keys.begin(), told);
+    m_share.on_taken(of.answer.body.size() * keys.size(), now);
+    m_hooks.answer(keys, of.answer);
 }
 
 void state_publisher::serve_turns()
@@ -110,15 +106,8 @@
             });
             return;
         }
-        auto& next = m_turns.front();
-        make_answer(next, now);
-        auto const answer = next.answer;
-        auto const told = static_cast<std::ptrdiff_t>(piece(next.keys.size(), answer.body.size()));
-        std::vector<request_key> const keys(next.keys.begin(), next.keys.begin() + told);
-        next.keys.erase(next.keys.begin(), next.keys.begin() + told);
-        if (next.keys.empty()) m_turns.pop_front();
-        m_share.on_taken(answer.body.size() * keys.size(), now);
-        m_hooks.answer(keys, answer);
+        tell_piece(m_turns.front(), now);
+        if (m_turns.front().keys.empty()) m_turns.pop_front();
     }
 }
 
--- a/src/gateway/address_answers.cpp
+++ b/src/gateway/address_answers.cpp
@@ -73,8 +73,7 @@
     }
     std::size_t largest = 0;
     for (auto& [domain, list] : by_domain) {
-        std::stable_sort(list.begin(), list.end(),
-                         [](auto left, auto right) { return left->second.capacity > right->second.capacity; });
+        std::sort(list.begin(), list.end(), [](auto left, auto right) { return larger_first(*left, *right); });
         largest = std::max(largest, list.size());
     }
     std::set<std::string> active;
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -24,10 +24,8 @@
     member_map members;                             ///< Gateways.
     std::set<std::string> active;                   ///< Gateways that callers are sent to.
     state_mirror mirror;                            ///< Copy of the store.
-    bool watches_store = false;                     ///< The last answer of a source came from the store.
-    int store_changes = 0;                          ///< Answers with changes from the store since the last full read.
-    bool names_changes = false;                     ///< Changes are logged one by one.
-    state_changes changed;                          ///< What the answer being taken in changed.
+    int store_answers = 0;                          ///< Answers of the store in a row since the last full read.
+    std::vector<learned_change> changes;            ///< What the answer that is being taken in changed.
     bool store_up = false;                          ///< The last call to the store succeeded.
     time_point store_lost_at;                       ///< When its calls began to fail.
     state_publisher followers;                      ///< Answers the gateways that follow this one.
@@ -110,12 +108,8 @@
     void remove_backend(backend_id const& id, std::int64_t revision);
     /** Takes in the registration of a gateway. */
     void on_member(store_item const& item);
-    /** Notes what became of a backend server. */
-    void note_backend(backend_id const& id, char const* state, int state_changes::*count, std::int64_t revision);
-    /** Notes that a gateway joined or left. */
-    void note_member(std::string const& key, char const* change, int state_changes::*count, std::int64_t revision);
-    /** @return whether this VM is one that watches the store, and not one that has just started beside many others. */
-    bool is_store_reader() const { return watches_store && store_changes > 1; }
+    /** Notes a change, for the log. */
+    void note(std::string name, fate what, std::int64_t revision);
     /** Logs what was noted since the last time. */
     void log_changes(std::int64_t revision);
     /** Drops entries that did not return after a store outage. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -57,6 +57,29 @@
     line.append(",\"denied\":\"").append(summary.denied).append("\"");
 }
 
+/** @return the name of @p what in a log line. */
+char const* to_string(fate what)
+{
+    switch (what) {
+    case fate::ready: return "ready";
+    case fate::draining: return "draining";
+    case fate::lapsed: return "lapsed";
+    case fate::gone: return "gone";
+    case fate::joined: return "joined";
+    case fate::left: return "left";
+    }
+    return "unknown";
+}
+
+/** @return the line that names one change. */
+nlohmann::json line_of(learned_change const& change)
+{
+    auto const* what = to_string(change.what);
+    if (change.what == fate::joined || change.what == fate::left)
+        return {{"event", "member"}, {"member", change.name}, {"change", what}, {"revision", change.revision}};
+    return {{"event", "backend"}, {"backend", change.name}, {"state", what}, {"revision", change.revision}};
+}
+
 } // namespace
 
 bool gateway_log::allowed(quota& kind, int per_second)
@@ -138,28 +161,19 @@
     write({{"event", "config"}, {"version", version.value()}, {"revision", revision}, {"applied", applied}});
 }
 
-void gateway_log::backend(backend_id const& id, char const* state, std::int64_t revision)
+void gateway_log::learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision,
+                          milliseconds state_age)
 {
-    write({{"event", "backend"}, {"backend", id.value()}, {"state", state}, {"revision", revision}});
-}
-
-void gateway_log::member(std::string const& key, char const* change, std::int64_t revision)
-{
-    write({{"event", "member"}, {"member", key}, {"change", change}, {"revision", revision}});
-}
-
-void gateway_log::learned(state_changes const& changes, std::int64_t revision, milliseconds state_age)
-{
-    if (!allowed(m_learned, learned_lines)) return;
-    write({{"event", "learned"},
-           {"ready", changes.ready},
-           {"draining", changes.draining},
-           {"lapsed", changes.lapsed},
-           {"gone", changes.gone},
-           {"joined", changes.joined},
-           {"left", changes.left},
-           {"revision", revision},
-           {"state_age_ms", state_age.count()}});
+    if (changes.empty()) return;
+    nlohmann::json line{{"event", "learned"}, {"revision", revision}, {"state_age_ms", state_age.count()}};
+    for (auto const what : {fate::ready, fate::draining, fate::lapsed, fate::gone, fate::joined, fate::left})
+        line[to_string(what)] = 0;
+    for (auto const& change : changes) {
+        auto& count = line[to_string(change.what)];
+        count = count.get<int>() + 1;
+        if (named) write(line_of(change));
+    }
+    if (allowed(m_learned, learned_lines)) write(line);
 }
 
 void gateway_log::process(char const* event) { write({{"event", event}}); }
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -5,16 +5,21 @@
 
 namespace cornelspring {
 
-/** What one answer of a source changed: numbers of backend servers by their new state, and of gateways. */
-struct state_changes {
-    int ready = 0;    ///< New, or back.
-    int draining = 0; ///< Leaving.
-    int lapsed = 0;   ///< Without an entry since an outage of the store.
-    int gone = 0;     ///< Removed.
-    int joined = 0;   ///< Gateways that joined.
-    int left = 0;     ///< Gateways that left.
-    /** @return whether anything changed. */
-    bool any() const { return ready + draining + lapsed + gone + joined + left > 0; }
+/** What becomes of a backend server or a gateway in the store. */
+enum class fate {
+    ready,    ///< A backend server that is new, or back.
+    draining, ///< One that leaves.
+    lapsed,   ///< One without an entry since an outage of the store.
+    gone,     ///< One that was removed.
+    joined,   ///< A gateway that joined.
+    left,     ///< A gateway that left.
+};
+
+/** A change of what this VM believes, learned from a source. */
+struct learned_change {
+    std::string name;          ///< Id of the backend server, or store key of the gateway.
+    fate what = fate::ready;   ///< What became of it.
+    std::int64_t revision = 0; ///< Store revision that says so.
 };
 
 /** Writes the gateway's log lines. Good requests are sampled under load, so that the volume stays bounded. */
@@ -37,17 +42,14 @@
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
     void config(config_version version, std::int64_t revision, bool applied);
-    /** The belief about a backend server changed. @param id which. @param state new state. @param revision source. */
-    void backend(backend_id const& id, char const* state, std::int64_t revision);
-    /** A gateway joined or left. @param key its store key. @param change joined or left. @param revision source. */
-    void member(std::string const& key, char const* change, std::int64_t revision);
     /**
      * The belief about backend servers and gateways changed. Every gateway learns the same, so that those that watch
      * the store name each change, and all others, and a full read, only say how many and up to which revision: with a
      * line for each entry at each of 195 VMs, 228,000 lines were written in 26 s.
-     * @param changes how many. @param revision store revision. @param state_age age of the copy.
+     * @param changes what changed; no line when it is empty. @param named whether each gets a line. @param revision
+     * store revision up to which it is known. @param state_age age of the copy.
      */
-    void learned(state_changes const& changes, std::int64_t revision, milliseconds state_age);
+    void learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision, milliseconds state_age);
     /** The process started, stops or reloads. @param event which. */
     void process(char const* event);
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -10,6 +10,7 @@
 
 /** Connections of a backend server for each active gateway, those left free for restarts included. */
 constexpr double connections_per_gateway = 3.3;
+
 /** @return the number given as @p name in the query of @p target. */
 std::optional<std::int64_t> query_number(std::string const& target, std::string const& name)
 {
@@ -38,7 +39,7 @@
         if (other) log.source(source, "used", "", followers.age());
     };
     events.on_heard = [this](feed_source const& source, milliseconds unheard) {
-        watches_store = source.is_store();
+        store_answers = source.is_store() ? store_answers + 1 : 0;
         if (source.is_store()) on_store_call(true);
         // A follower may not have called the store itself during an outage.
         if (unheard > fresh_limit) on_store_back();
@@ -110,17 +111,14 @@
 
 void gateway::impl::on_snapshot(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    store_changes = 0;
+    store_answers = 0;
     take_in(mirror.replace(items, as_of), as_of);
     if (settings.caller_address) registered->set(member_key(), encode_member(self()));
 }
 
 void gateway::impl::on_changes(std::vector<store_item> const& items, std::int64_t as_of)
 {
-    store_changes = watches_store ? store_changes + 1 : 0;
-    names_changes = is_store_reader();
     take_in(mirror.apply(items, as_of), as_of);
-    names_changes = false;
 }
 
 void gateway::impl::take_in(std::vector<store_item> const& changes, std::int64_t as_of)
@@ -131,24 +129,16 @@
     log_changes(as_of);
 }
 
-void gateway::impl::log_changes(std::int64_t revision)
-{
-    if (changed.any()) log.learned(changed, revision, followers.age());
-    changed = {};
-}
-
-void gateway::impl::note_backend(backend_id const& id, char const* state, int state_changes::*count,
-                                 std::int64_t revision)
+void gateway::impl::note(std::string name, fate what, std::int64_t revision)
 {
-    ++(changed.*count);
-    if (names_changes) log.backend(id, state, revision);
+    changes.push_back({std::move(name), what, revision});
 }
 
-void gateway::impl::note_member(std::string const& key, char const* change, int state_changes::*count,
-                                std::int64_t revision)
+void gateway::impl::log_changes(std::int64_t revision)
 {
-    ++(changed.*count);
-    if (names_changes) log.member(key, change, revision);
+    // All VMs of a start watch the store once after their full read; those that do so again are its readers.
+    bool const reads_store = store_answers > 1;
+    log.learned(std::exchange(changes, {}), reads_store, revision, followers.age());
 }
 
 void gateway::impl::refresh_members()
@@ -195,10 +185,7 @@
 void gateway::impl::remove_backend(backend_id const& id, std::int64_t revision)
 {
     if (!registry.remove(id, loop.now())) return;
-    if (registry.find(id))
-        note_backend(id, "lapsed", &state_changes::lapsed, revision);
-    else
-        note_backend(id, "gone", &state_changes::gone, revision);
+    note(id.value(), registry.find(id) ? fate::lapsed : fate::gone, revision);
 }
 
 void gateway::impl::on_backend(store_item const& item)
@@ -210,30 +197,25 @@
     }
     auto const entry = codec.parse_backend(id.value(), item.value);
     if (!registry.apply(entry, loop.now())) return;
-    if (entry.draining)
-        note_backend(id, "draining", &state_changes::draining, item.revision);
-    else
-        note_backend(id, "ready", &state_changes::ready, item.revision);
+    note(id.value(), entry.draining ? fate::draining : fate::ready, item.revision);
 }
 
 void gateway::impl::on_member(store_item const& item)
 {
     if (item.removed) {
         members.erase(item.key);
-        note_member(item.key, "left", &state_changes::left, item.revision);
+        note(item.key, fate::left, item.revision);
         if (item.key == member_key()) registered->on_removed();
         return;
     }
     bool const is_new = members.insert_or_assign(item.key, decode_member(item.value)).second;
-    if (is_new) note_member(item.key, "joined", &state_changes::joined, item.revision);
+    if (is_new) note(item.key, fate::joined, item.revision);
 }
 
 void gateway::impl::expire_lapsed()
 {
-    names_changes = is_store_reader();
     for (auto const& id : registry.expire(loop.now()))
-        note_backend(id, "gone", &state_changes::gone, mirror.as_of());
-    names_changes = false;
+        note(id.value(), fate::gone, mirror.as_of());
     log_changes(mirror.as_of());
 }
 
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -12,7 +12,7 @@
 /** Weight of a new outcome in the failure rate. */
 constexpr double failure_rate_weight = 0.15;
 /** Without samples, a latency drifts half of the way back to the usual one in this time, so that it is tried again. */
-constexpr double forget_half_life_s = 1.0;
+constexpr milliseconds forget_half_life{1000};
 /** First suspicion after a failure or stall; doubles with each in a row. A pause of a backend server lasts longer. */
 constexpr milliseconds suspect_first{120};
 /** Longest suspicion: a server that came back is tried again within this time. */
@@ -106,8 +106,7 @@
 double backend_load::latency_ms(double usual, time_point now) const
 {
     if (m_latency_ms == 0) return usual;
-    double const age_s = std::chrono::duration<double>(now - m_sampled_at).count();
-    return usual + (m_latency_ms - usual) * std::exp2(-age_s / forget_half_life_s);
+    return usual + (m_latency_ms - usual) * decayed(now - m_sampled_at, forget_half_life);
 }
 
 bool backend_registry::outdated(backend_entry const& entry) const
--- /dev/null
+++ b/src/routing/moving_average.cpp
@@ -0,0 +1,20 @@
+/** @file moving_average.cpp Weights of samples in averages over time. */
+#include <cornelspring/routing.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelspring {
+
+double sample_weight::after(clock::duration gap) const
+{
+    double const averages = std::chrono::duration<double>(gap) / std::chrono::duration<double>(average);
+    return std::clamp(1 - std::exp(-averages), least, most);
+}
+
+double decayed(clock::duration age, milliseconds half_life)
+{
+    return std::exp2(-(std::chrono::duration<double>(age) / std::chrono::duration<double>(half_life)));
+}
+
+} // namespace cornelspring
--- a/src/routing/serving_config.cpp
+++ b/src/routing/serving_config.cpp
@@ -18,6 +18,14 @@
     return key;
 }
 
+/** @return whether one of @p routes over the same shards ranks higher than @p via. */
+bool outranked(route const& via, std::vector<route> const& routes)
+{
+    return std::any_of(routes.begin(), routes.end(), [&via](route const& other) {
+        return other.priority < via.priority && other.gather && other.gather->shards == via.gather->shards;
+    });
+}
+
 } // namespace
 
 serving_config::serving_config(config_version version, std::vector<route> routes,
@@ -31,6 +39,7 @@
             int const limit = max_connections(shard);
             m_fewest_connections = m_fewest_connections == 0 ? limit : std::min(m_fewest_connections, limit);
         }
+        m_routes[i].most_urgent = !outranked(m_routes[i], m_routes);
     }
 }
 
