Codec test tells a wrong size from unreadable bytes; figures of the window of slow shards from the reviewed emulator

Change: the size is wrong in both directions, and the error must be the codec's own. Conclusion: kept; admission by shards earns nothing more in that window, it tells callers sooner.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -31,7 +31,8 @@
  * which a dozen of 87 shards are full or gone and a query needs 83: half of the shards answer at once, so that
  * admission by their wait lets all queries in, and those that lack five shards have taken places of the others in vain.
  * Callers that can't be served are told at once, truly not run and when to come back. Such seconds emulated,
- * 48 seeds: of 750 queries 89 end failed in place of 130, 36 are refused in place of 5, and 626 served in place of 617.
+ * 48 seeds: of 747 queries 89 end failed in place of 126, 36 are refused in place of 5, and 623 served in place of 615;
+ * what their callers get of its value is the same.
  * @param answered_shares how often each shard answered lately. @param needed shards that a success needs.
  */
 double coverable_share(std::vector<double> answered_shares, std::size_t needed);
--- a/tests/test_heavy_window.cpp
+++ b/tests/test_heavy_window.cpp
@@ -48,8 +48,8 @@
 
 TEST_CASE("heavy window: queries that lack shards are refused at once in place of failing, and no fewer are served")
 {
-    // Measured over seeds 1 to 48, for each run of 750 queries: failed 130 before and 89 after, refused 5 and 36,
-    // served 617 and 626, urgent ones in time 116 and 118 of 187.
+    // Measured over seeds 1 to 48, for each run of 747 queries: failed 126 before and 89 after, refused 5 and 36,
+    // served 615 and 623, urgent ones in time 114 and 117 of 186.
     auto const before = play(false);
     auto const after = play(true);
     CHECK(after.failed < 0.75 * before.failed);
--- a/tests/test_state_feed.cpp
+++ b/tests/test_state_feed.cpp
@@ -288,8 +288,10 @@
         response.body = whole.substr(0, at);
         CHECK_THROWS(codec.parse_batch(response));
     }
-    auto const size_at = whole.find("bytes") + 6; // The high byte of the size before deflating: it now says another.
-    response.body = whole;
-    response.body[size_at] = static_cast<char>(response.body[size_at] ^ 0x10);
-    CHECK_THROWS(codec.parse_batch(response));
+    auto const size_at = whole.find("bytes") + 6; // The high byte of the size before deflating.
+    for (int const by : {-1, 1}) {
+        response.body = whole;
+        response.body[size_at] = static_cast<char>(response.body[size_at] + by);
+        CHECK_THROWS_AS(codec.parse_batch(response), error);
+    }
 }
