--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -1,12 +1,10 @@
-/** @file test_routing.cpp Decisions of the query tier without sockets or clocks. */
+/** @file test_routing.cpp What requests are routed by: routes, entries, budget, averages, merging. */
 #include <cornelspring/dispatch.hpp>
 
 #include <doctest/doctest.h>
 
 #include <cmath>
 
-#include "dispatcher_fixture.hpp"
-
 using namespace cornelspring;
 using namespace std::chrono_literals;
 
@@ -116,21 +114,17 @@
 
 TEST_CASE("routing: a route is outranked by another over the same shards only")
 {
-    auto const made = [](char const* name, int priority, std::vector<std::string> const& shards) {
-        route via;
-        via.name = name;
-        via.host = "h";
-        via.prefix = std::string("/") + name + "/";
+    auto const gathering = [](char const* name, int priority, std::vector<std::string> const& shards) {
+        auto via = plain_route(name, "h", std::string("/") + name + "/", "s");
         via.priority = priority;
-        if (shards.empty()) return via;
         via.gather.emplace();
         for (auto const& shard : shards)
             via.gather->shards.emplace_back(shard);
         return via;
     };
     serving_config const config(config_version(1),
-                                {made("first", 1, {"a", "b"}), made("second", 2, {"a", "b"}),
-                                 made("alone", 2, {"a", "c"}), made("plain", 0, {})},
+                                {gathering("first", 1, {"a", "b"}), gathering("second", 2, {"a", "b"}),
+                                 gathering("alone", 2, {"a", "c"}), plain_route("plain", "h", "/plain/", "s")},
                                 {}, {});
     std::vector<bool> urgent;
     for (auto const& via : config.routes())
@@ -148,275 +142,3 @@
     CHECK(decayed(milliseconds(0), milliseconds(200)) == doctest::Approx(1.0));
     CHECK(decayed(milliseconds(400), milliseconds(200)) == doctest::Approx(0.25));
 }
-
-TEST_CASE("dispatcher: before any configuration a request is refused as not run")
-{
-    dispatcher_fixture fleet({}, nullptr);
-    auto const key = fleet.start("/any/", "id1");
-    CHECK(fleet.answer(key).status == 503);
-    // The configuration is there within 0.1 s; a caller who waits for 0.8 s comes back after a third of it at the
-    // latest.
-    auto const seconds = std::stod(fleet.answer(key).header("retry-after"));
-    CHECK(seconds >= 0.1);
-    CHECK(seconds <= 0.8 / 3);
-}
-
-TEST_CASE("dispatcher: the longer no configuration can be had, the later callers are told to come back")
-{
-    dispatcher_fixture fleet({}, nullptr);
-    auto const told = [&fleet] { return std::stod(fleet.answer(fleet.start("/any/", "id")).header("retry-after")); };
-    CHECK(told() <= 0.2);
-    fleet.advance(std::chrono::milliseconds(500));
-    auto const after_half_a_second = told();
-    CHECK(after_half_a_second >= 0.5);
-    CHECK(after_half_a_second <= 1.0);
-    fleet.advance(std::chrono::milliseconds(20000));
-    auto const after_long = told();
-    CHECK(after_long >= 1.0);
-    CHECK(after_long <= 2.0);
-}
-
-TEST_CASE("dispatcher: a request without a route gets 404 and reaches nobody")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/nowhere/", "id1");
-    CHECK(fleet.answer(key).status == 404);
-    CHECK(fleet.sent.empty());
-}
-
-TEST_CASE("dispatcher: the request goes out unchanged, with the target, the time left and its own id")
-{
-    dispatcher_fixture fleet;
-    fleet.start("/plain/x?y=1", "id1",
-                {{"deadline", "800"}, {"x-own", "v"}, {"connection", "x-hop"}, {"x-hop", "1"}, {"target", "forged"}});
-    REQUIRE(fleet.sent.size() == 1);
-    auto const& bytes = fleet.sent[0].head;
-    CHECK(bytes.starts_with("GET /plain/x?y=1 HTTP/1.1\r\n"));
-    CHECK(bytes.find("request-id: id1\r\n") != std::string::npos);
-    CHECK(bytes.find("x-own: v\r\n") != std::string::npos);
-    CHECK(bytes.find("x-hop") == std::string::npos);
-    CHECK(bytes.find("target: " + fleet.sent[0].target->entry.id.value() + "\r\n") != std::string::npos);
-    CHECK(bytes.find("forged") == std::string::npos);
-    CHECK(bytes.find("deadline") == std::string::npos); // Written when the request leaves, from give_up.
-    CHECK(fleet.sent[0].give_up == fleet.now + 800ms);
-}
-
-TEST_CASE("dispatcher: what a failed attempt leads to")
-{
-    struct row {
-        char const* path;
-        attempt_end end;
-        bool sent_again;
-        int status; ///< Final status when every further attempt ends the same way.
-    };
-    for (auto const& each :
-         {row{"/plain/", attempt_end::lost, true, 502}, row{"/plain/", attempt_end::not_sent, true, 503},
-          row{"/plain/", attempt_end::not_executed, true, 503}, row{"/plain/", attempt_end::wrong_server, true, 503},
-          row{"/write/", attempt_end::lost, false, 502}, row{"/write/", attempt_end::not_sent, true, 503},
-          row{"/write/", attempt_end::not_executed, true, 503}, row{"/write/", attempt_end::wrong_server, true, 503}}) {
-        CAPTURE(each.path);
-        CAPTURE(to_string(each.end));
-        dispatcher_fixture fleet;
-        auto const key = fleet.start(each.path, "id1");
-        REQUIRE(fleet.sent.size() == 1);
-        fleet.end(0, each.end);
-        CHECK((fleet.sent.size() == 2) == each.sent_again);
-        for (std::size_t i = 1; i < fleet.sent.size() && i < 20; ++i) {
-            fleet.end(i, each.end);
-            fleet.advance(20ms);
-        }
-        CHECK(fleet.answer(key).status == each.status);
-        if (each.status == 503) CHECK(fleet.answer(key).header("retry-after") != "");
-    }
-}
-
-TEST_CASE("dispatcher: a non-idempotent request that ran never gets a status that promises it did not")
-{
-    for (int const status : {503, 429, 408, 421}) {
-        dispatcher_fixture fleet;
-        auto const key = fleet.start("/write/", "id1");
-        fleet.respond(0, status, "body");
-        CHECK(fleet.sent.size() == 1);
-        CHECK(fleet.answer(key).status == 502);
-    }
-}
-
-TEST_CASE("dispatcher: a success without signature is no answer of the backend server")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/plain/", "id1");
-    http_response forged;
-    forged.status = 200;
-    fleet.respond(0, forged);
-    CHECK(fleet.sent.size() == 2);
-    fleet.respond(1, 200, "whole");
-    CHECK(fleet.answer(key).status == 200);
-    CHECK(fleet.answer(key).body == "whole");
-}
-
-TEST_CASE("dispatcher: a gathered answer names its parts and what is missing")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/gather/", "id1");
-    REQUIRE(fleet.sent.size() == 4);
-    for (std::size_t i = 0; i < 3; ++i)
-        fleet.respond(i, 200, std::string(16, static_cast<char>('a' + i)));
-    CHECK_FALSE(fleet.answered(key));
-    SUBCASE("whole")
-    {
-        fleet.respond(3, 200, std::string(16, 'z'));
-        auto const& answer = fleet.answer(key);
-        CHECK(answer.status == 200);
-        CHECK(answer.header("missing") == "0");
-        CHECK(answer.body == std::string(16, 'z') + std::string(16, 'c'));
-        CHECK(answer.header("parts") == "sig-0, sig-1, sig-2, sig-3");
-    }
-    SUBCASE("at its time a sufficient answer goes out")
-    {
-        fleet.advance(188ms);
-        CHECK_FALSE(fleet.answered(key));
-        fleet.advance(2ms); // goal 200 ms, margin 11 ms
-        CHECK(fleet.answer(key).header("missing") == "1");
-    }
-    SUBCASE("a shard that fails for good does not hold up the others")
-    {
-        for (std::size_t i = 3; i < fleet.sent.size() && i < 20; ++i) {
-            fleet.end(i, attempt_end::not_sent);
-            fleet.advance(16ms);
-        }
-        CHECK(fleet.answer(key).header("missing") == "1");
-    }
-}
-
-TEST_CASE("dispatcher: a query that cannot reach its coverage any more fails at once")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/gather/", "id1");
-    for (std::size_t i = 0; i < fleet.sent.size() && i < 40 && !fleet.answered(key); ++i)
-        fleet.end(i, attempt_end::lost);
-    CHECK(fleet.answer(key).status == 502);
-    CHECK(fleet.now < fleet.begin + 100ms);
-}
-
-TEST_CASE("dispatcher: without a backend server a query is refused on arrival")
-{
-    dispatcher_fixture fleet;
-    for (auto const& id : fleet.registry.ids()) {
-        if (id.value().starts_with("g0") || id.value().starts_with("g1")) fleet.registry.remove(id, fleet.now);
-    }
-    auto const key = fleet.start("/gather/", "id1");
-    CHECK(fleet.answer(key).status == 503);
-    CHECK(fleet.sent.empty());
-}
-
-TEST_CASE("dispatcher: a slow shard is hedged once, at the other replica, and the loser is let go")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/gather/", "id1");
-    for (std::size_t i = 0; i < 3; ++i)
-        fleet.respond(i, 200, std::string(16, 'a'));
-    fleet.advance(85ms); // 0.4 of the goal of 200 ms
-    REQUIRE(fleet.sent.size() == 5);
-    CHECK(fleet.sent[4].target != fleet.sent[3].target);
-    fleet.advance(50ms);
-    CHECK(fleet.sent.size() == 5);
-    fleet.respond(4, 200, std::string(16, 'b'));
-    CHECK(fleet.answer(key).header("missing") == "0");
-    fleet.advance(400ms);
-    CHECK(fleet.cancelled == std::set<std::uint64_t>{fleet.sent[3].id.value()});
-    CHECK(fleet.sent[3].target->load.in_flight() == 0);
-}
-
-TEST_CASE("dispatcher: slow answers from other regions do not make hedges of near shards late")
-{
-    dispatcher_fixture fleet;
-    for (char const* replica : {"a", "b"})
-        fleet.add_backend("far", replica, "elsewhere");
-    fleet.configs.offer(fleet.config_of(2, {"g0", "far"}));
-    for (int i = 0; i < 60; ++i) {
-        auto const at = fleet.sent.size();
-        fleet.start("/gather/", "id" + std::to_string(i));
-        fleet.advance(5ms);
-        fleet.respond(at, 200, std::string(16, 'a'));
-        fleet.advance(45ms);
-        fleet.respond(at + 1, 200, std::string(16, 'a'));
-    }
-    auto const at = fleet.sent.size();
-    fleet.start("/gather/", "slow");
-    fleet.advance(10ms);
-    REQUIRE(fleet.sent.size() == at + 3);
-    CHECK(fleet.sent[at + 2].target->entry.service == service_name("g0"));
-}
-
-TEST_CASE("dispatcher: at the deadline the caller gets a final answer")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/plain/", "id1", {{"deadline", "300"}});
-    fleet.advance(270ms);
-    CHECK_FALSE(fleet.answered(key));
-    fleet.advance(10ms);
-    CHECK(fleet.answer(key).status == 504);
-}
-
-TEST_CASE("dispatcher: when the caller leaves all its work is cancelled")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/gather/", "id1");
-    fleet.requests->caller_gone(key, fleet.now);
-    CHECK(fleet.cancelled.size() == 4);
-    CHECK_FALSE(fleet.answered(key));
-    CHECK(fleet.requests->open_requests() == 0);
-}
-
-TEST_CASE("dispatcher: parts of a split get their shares exactly")
-{
-    dispatcher_fixture fleet;
-    std::map<std::string, int> counts;
-    for (int i = 0; i < 100; ++i) {
-        auto const at = fleet.sent.size();
-        fleet.start("/split/", "id" + std::to_string(i));
-        ++counts[fleet.sent[at].target->entry.service.value()];
-        fleet.respond(at, 200, "x");
-    }
-    CHECK(counts["s"] == 75);
-    CHECK(counts["t"] == 25);
-}
-
-TEST_CASE("dispatcher: a request keeps the configuration it began with")
-{
-    dispatcher_fixture fleet;
-    auto const key = fleet.start("/gather/", "id1");
-    auto changed = fleet.config_of(2, {"t"});
-    fleet.configs.offer(changed);
-    for (std::size_t i = 0; i < 4; ++i)
-        fleet.respond(i, 200, std::string(16, 'a'));
-    CHECK(fleet.answer(key).header("missing") == "0");
-    fleet.start("/gather/", "id2");
-    CHECK(fleet.sent.size() == 5);
-}
-
-TEST_CASE("dispatcher: the summary of a request names its second attempts, what they went by, and those denied")
-{
-    dispatcher_options options;
-    options.budget = {0.0, 4.0,
-                      std::chrono::seconds(10)}; // One extra arrival a service: a share of 0.75 of 4 of 3 VMs.
-    dispatcher_fixture fleet(options);
-    fleet.requests->set_vms(3);
-    for (char const* id : {"id1", "id2"}) {
-        auto const before = fleet.sent.size();
-        fleet.start("/gather/x", id);
-        for (std::size_t i = before + 1; i < before + 4; ++i)
-            fleet.respond(i, 200, std::string(16, 'a'));
-        fleet.advance(300ms);
-    }
-    REQUIRE(fleet.finished.size() == 2);
-    auto const& first = fleet.finished[0];
-    CHECK(first.hedges == 1);
-    CHECK(first.extra.find("hedge:g0") == 0);
-    CHECK(first.extra.find("budget=0") != std::string::npos);
-    CHECK(first.extra.find("expected_ms=") != std::string::npos);
-    auto const& second = fleet.finished[1];
-    CHECK(second.hedges == 0);
-    CHECK(second.hedges_denied > 0);
-    CHECK(std::string(second.denied) == "no_budget");
-}
