Sight: log lines name a request by what it asks, its caller, and how many servers closed connections under it

Cause for the change: the lines of the incident could not tell whether the request of one wave of crashes is that of another, nor a server that closes a connection without a word from other losses. Change: attempts that a backend server ends by closing the connection are 'disconnected' (a reset is not: so ends what a server has not read); such requests are logged with digest, caller and line. No decision changes. The stand-in crashes under one path.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cornelspring/quarantine.hpp>
 #include <cornelspring/routing.hpp>
 
 namespace cornelspring {
@@ -141,6 +142,10 @@
     std::chrono::microseconds took{0}; ///< From arrival to answer.
     milliseconds spent{0};             ///< Time of its caller that had gone when it was read, or goes with its answer.
     int failed_attempts = 0;           ///< Attempts that failed.
+    int disconnects = 0;               ///< Of these, ended by the backend server's closing the connection.
+    request_digest digest;             ///< Of the request, when some were: the same for its repetitions.
+    caller_address caller;             ///< Who sent it.
+    std::string line;                  ///< Then also its method, host and path, as far as a log line takes them.
     std::string failures;              ///< The first of these: backend server and reason.
     std::string extra;                 ///< The first hedges and retries: why there, and the budget that was left.
     int hedges_denied = 0;             ///< Hedges that were due and not sent.
@@ -224,8 +229,8 @@
                dispatcher_hooks hooks, std::uint64_t seed);
     ~dispatcher();
     /** Takes in a whole request. @param key new key for it. @param message as received. @param timing its time before
-     *  and after. @param now present time. */
-    void start(request_key key, http_request message, request_timing timing, time_point now);
+     *  and after. @param caller who sent it. @param now present time. */
+    void start(request_key key, http_request message, request_timing timing, caller_address caller, time_point now);
     /** The caller has left: gives up all work for it. @param key request. @param now present time. */
     void caller_gone(request_key key, time_point now);
     /** Takes in the result of an attempt. @param id attempt. @param result result. @param now present time. */
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -15,6 +15,7 @@
 struct exchange_result {
     bool answered = false;   ///< A whole, matching response came.
     bool sent = false;       ///< The request may have reached the peer.
+    bool closed = false;     ///< The peer closed the connection and sent no byte of a response.
     http_response response;  ///< The response when answered.
     char const* detail = ""; ///< Why not answered.
 };
@@ -121,6 +122,7 @@
     http_request message;  ///< The request.
     bool local = false;    ///< Arrived on an address for the system's own calls, not for forwarding.
     request_timing timing; ///< Its time before it was read and after it will be answered.
+    caller_address caller; ///< Who sent it.
 };
 
 /** The server for callers: reads requests strictly, one at a time on each connection, and answers each once. */
--- a/include/cornelspring/net.hpp
+++ b/include/cornelspring/net.hpp
@@ -166,6 +166,8 @@
     bool open() const;
     /** @return the round trip time that the system measured on the connection; 0 when it does not say. */
     std::chrono::microseconds round_trip() const;
+    /** @return the peer's numeric IPv4 address; empty when the connection has ended. */
+    std::string peer_host() const;
 
     /** Opaque state, defined in the source file. */
     struct impl;
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -177,7 +177,13 @@
     wrong_server, ///< Another incarnation holds the address; it did not run the request.
     not_sent,     ///< No byte of the request was accepted by the peer.
     lost,         ///< Sent, but no usable response: it may have run.
+    /** Sent, and the peer closed the connection without a byte of a response: it may have run, and the backend server
+     *  may have crashed under it. A reset is not meant: so ends what a backend server has not read, over its limit of
+     *  connections or on a kept connection that it forgot. */
+    disconnected,
 };
+/** @return whether a request may have run in an attempt that ended so. @param end the end. */
+inline bool may_have_run(attempt_end end) { return end == attempt_end::lost || end == attempt_end::disconnected; }
 /** @return the name of @p end for logs. @param end the end. */
 char const* to_string(attempt_end end);
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -6,6 +6,9 @@
 namespace cornelspring {
 namespace {
 
+/** Characters of a request's method, host and path in the log. */
+constexpr std::size_t logged_line_length = 120;
+
 /** @return whether @p status promises a caller that its request has not run and never will. */
 bool promises_not_run(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
 
@@ -100,10 +103,21 @@
     }
     request->summary.status = response.status;
     request->summary.reason = reason;
-    request->summary.answered = request->done;
-    request->summary.took = std::chrono::duration_cast<std::chrono::microseconds>(now - request->arrived);
     hooks.answer(key, std::move(response));
-    hooks.finished(request->summary);
+    report(*request, now);
+}
+
+void dispatcher::impl::report(request_state& request, time_point now)
+{
+    auto& summary = request.summary;
+    summary.answered = request.done;
+    summary.took = std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived);
+    if (summary.disconnects > 0) {
+        auto const& message = request.message;
+        summary.digest = digest_of(message, summary.caller);
+        summary.line = (message.method + " " + message.header("host") + message.path).substr(0, logged_line_length);
+    }
+    hooks.finished(summary);
 }
 
 // ---- Time ----
@@ -172,10 +186,11 @@
 
 dispatcher::~dispatcher() = default;
 
-void dispatcher::start(request_key key, http_request message, request_timing timing, time_point now)
+void dispatcher::start(request_key key, http_request message, request_timing timing, caller_address caller,
+                       time_point now)
 {
     m_impl->ended.clear();
-    m_impl->start(key, std::move(message), timing, now);
+    m_impl->start(key, std::move(message), timing, std::move(caller), now);
 }
 
 void dispatcher::caller_gone(request_key key, time_point now)
@@ -192,9 +207,7 @@
             m_impl->release(id, false, now);
     }
     request->summary.reason = "caller_gone";
-    request->summary.answered = request->done;
-    request->summary.took = std::chrono::duration_cast<std::chrono::microseconds>(now - request->arrived);
-    m_impl->hooks.finished(request->summary);
+    m_impl->report(*request, now);
 }
 
 void dispatcher::on_result(attempt_id id, attempt_result result, time_point now)
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -38,11 +38,13 @@
 
 } // namespace
 
-void dispatcher::impl::start(request_key key, http_request message, request_timing timing, time_point now)
+void dispatcher::impl::start(request_key key, http_request message, request_timing timing, caller_address caller,
+                             time_point now)
 {
     auto const& config = configs.current();
     request_summary summary;
     summary.caller_id = message.header(options.names.request_id);
+    summary.caller = std::move(caller);
     if (!config) {
         answer_at_once(key, summary, refusal("no configuration is known yet", starting_wait_s(now)), "starting");
         return;
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -239,6 +239,7 @@
             request.summary.failures +=
                 attempt.target->entry.id.value() + ":" + to_string(result.end) + ":" + result.detail + " ";
         }
+        if (result.end == attempt_end::disconnected) ++request.summary.disconnects;
         if (result.end == attempt_end::answered) {
             on_answer(request, attempt.shard, std::move(result.response), now);
         } else {
@@ -275,7 +276,7 @@
                                   time_point now)
 {
     auto& shard = request.shards[index];
-    if (result.end != attempt_end::lost) --shard.runs;
+    if (!may_have_run(result.end)) --shard.runs;
     if (result.end == attempt_end::not_sent) --shard.arrivals;
     if (shard.done || shard.failed || !shard.open.empty()) return;
     retry(request, index, now);
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -62,7 +62,7 @@
     }
 
     /** Takes in a request: route, deadline, shards, admission, first attempts. */
-    void start(request_key key, http_request message, request_timing timing, time_point now);
+    void start(request_key key, http_request message, request_timing timing, caller_address caller, time_point now);
     /** @return seconds after which callers come back at least while no configuration is known. */
     double starting_wait_s(time_point now);
     /** @return the service of a split route for the next request. */
@@ -135,6 +135,8 @@
     void check_finish(request_state& request, time_point now);
     /** Ends a request with an answer. */
     void finish(request_key key, http_response response, char const* reason, time_point now);
+    /** Tells what became of a request that has ended. */
+    void report(request_state& request, time_point now);
     /** @return the answer made of the shards that are done. */
     http_response merged(request_state& request) const;
     /** @return the final failure, true to what may have run. */
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -252,7 +252,7 @@
                        {"deadline", std::to_string(std::chrono::duration_cast<milliseconds>(left).count())}};
     request_key const key(++vm.last_key);
     vm.open[key.value()] = task;
-    vm.requests->start(key, std::move(message), {}, m_todo.now());
+    vm.requests->start(key, std::move(message), {}, {}, m_todo.now());
     wake(vm);
 }
 
--- a/src/emulator/modelled_server.hpp
+++ b/src/emulator/modelled_server.hpp
@@ -52,7 +52,7 @@
         lost.insert(lost.end(), m_at_work.begin(), m_at_work.end());
         m_at_work.clear();
         for (auto const& work : lost) {
-            if (!work->cancelled) work->done(attempt_end::lost);
+            if (!work->cancelled) work->done(attempt_end::disconnected);
         }
     }
     double slowdown = 1;  ///< Factor on the work.
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -117,6 +117,7 @@
 
 attempt_result backend_pool::impl::classify(exchange_result result) const
 {
+    if (result.closed) return {attempt_end::disconnected, {}, result.detail};
     if (!result.answered) return {result.sent ? attempt_end::lost : attempt_end::not_sent, {}, result.detail};
     auto& response = result.response;
     constexpr int status_misdirected = 421;
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -172,7 +172,11 @@
     from.continued = false;
     serving.emplace(key.value(), number);
     loop.cancel(from.timer);
-    service.on_request({key, std::move(request), from.local, {loop.unread_time(), from.stream->round_trip()}});
+    service.on_request({key,
+                        std::move(request),
+                        from.local,
+                        {loop.unread_time(), from.stream->round_trip()},
+                        caller_address(from.stream->peer_host())});
 }
 
 void caller_server::impl::refuse(std::uint64_t number, int status, char const* reason)
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -44,7 +44,7 @@
     }
     // Later: the owner may be in the middle of starting this exchange.
     m_loop.run_at(m_loop.now(), [this, alive = std::weak_ptr<bool>(m_alive)] {
-        if (!alive.expired() && m_exchange) end_exchange({false, false, {}, "no time was left to send it"});
+        if (!alive.expired() && m_exchange) end_exchange({false, false, false, {}, "no time was left to send it"});
     });
 }
 
@@ -64,7 +64,7 @@
         if (m_reader.state() == parse_state::incomplete) return;
         if (m_reader.state() != parse_state::complete) {
             m_broken = true;
-            end_exchange({false, true, {}, "malformed response"});
+            end_exchange({false, true, false, {}, "malformed response"});
             return;
         }
         if (m_exchange->matches(m_reader.response()) == match::mine) {
@@ -82,7 +82,7 @@
 {
     // Bytes after the answer, or an answer before the whole request has left, make the connection unusable.
     if (!rest.empty() || !m_reader.keep_alive() || m_stream->unsent() > 0) m_broken = true;
-    exchange_result result{true, true, std::move(m_reader.response()), ""};
+    exchange_result result{true, true, false, std::move(m_reader.response()), ""};
     note_keep_alive(result.response);
     end_exchange(std::move(result));
 }
@@ -118,7 +118,8 @@
                          : how == stream_end::closed ? "closed without a response"
                          : m_used                    ? "kept connection reset"
                                                      : "reset without a response";
-    end_exchange({false, sent, {}, detail});
+    bool const closed = sent && how == stream_end::closed && !m_reader.started();
+    end_exchange({false, sent, closed, {}, detail});
 }
 
 void client_connection::end_exchange(exchange_result result)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,7 +86,7 @@
         on_local(request.key, request.message);
         return;
     }
-    requests->start(request.key, std::move(request.message), request.timing, loop.now());
+    requests->start(request.key, std::move(request.message), request.timing, std::move(request.caller), loop.now());
     wake_dispatcher();
 }
 
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -123,6 +123,12 @@
         line += ",\"failures\":";
         append_quoted(line, summary.failures);
     }
+    if (summary.disconnects > 0) {
+        append_number(line, "disconnects", summary.disconnects);
+        line.append(",\"digest\":\"").append(summary.digest.value());
+        line.append("\",\"caller\":\"").append(summary.caller.value()).append("\",\"line\":");
+        append_quoted(line, summary.line);
+    }
     if (needs_details(summary)) append_details(line, summary);
     if (m_left_out > 0) append_number(line, "left_out", static_cast<std::int64_t>(std::exchange(m_left_out, 0)));
     line += "}";
--- a/src/gateway/store_channel.cpp
+++ b/src/gateway/store_channel.cpp
@@ -40,7 +40,7 @@
             return;
         }
         m_connection.reset(); // A connection on which an answer is lost returns nothing further.
-        finish(number, {false, true, {}, "no answer in time"}, done);
+        finish(number, {false, true, false, {}, "no answer in time"}, done);
     });
 }
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -2,6 +2,7 @@
 #include "event_loop_impl.hpp"
 #include "socket.hpp"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -205,6 +206,16 @@
     return std::chrono::microseconds(info.tcpi_rtt);
 }
 
+std::string tcp_stream::peer_host() const
+{
+    sockaddr_in peer{};
+    socklen_t length = sizeof peer;
+    if (m_impl->ended || getpeername(m_impl->watch->fd, reinterpret_cast<sockaddr*>(&peer), &length) != 0) return {};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
+    return text.data();
+}
+
 tcp_listener::tcp_listener(event_loop& loop, endpoint const& address, std::function<void(int)> on_accept)
     : m_impl(std::make_shared<tcp_stream::impl>())
 {
--- /dev/null
+++ b/src/quarantine/request_digest.cpp
@@ -0,0 +1,37 @@
+/** @file request_digest.cpp What makes two requests the same. */
+#include <cornelspring/quarantine.hpp>
+
+#include <openssl/evp.h>
+
+#include <array>
+
+namespace cornelspring {
+namespace {
+
+/** Bytes of a digest that are kept: enough that no two requests share one by chance. */
+constexpr std::size_t digest_bytes = 16;
+
+/** Appends @p part with its length, so that no two lists of parts make up the same text. */
+void append_part(std::string& text, std::string_view part)
+{
+    text.append(std::to_string(part.size())).append(":").append(part);
+}
+
+} // namespace
+
+request_digest digest_of(http_request const& request, caller_address const& caller)
+{
+    std::string text;
+    for (auto const& part : {request.method, request.header("host"), request.path, request.body, caller.value()})
+        append_part(text, part);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> hash{};
+    unsigned int size = 0;
+    EVP_Digest(text.data(), text.size(), hash.data(), &size, EVP_sha256(), nullptr);
+    static constexpr char const* digits = "0123456789abcdef";
+    std::string hex;
+    for (std::size_t i = 0; i < digest_bytes; ++i)
+        hex.append({digits[hash[i] >> 4], digits[hash[i] & 15]});
+    return request_digest(std::move(hex));
+}
+
+} // namespace cornelspring
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -43,6 +43,7 @@
     case attempt_end::wrong_server: return "wrong_server";
     case attempt_end::not_sent: return "not_sent";
     case attempt_end::lost: return "lost";
+    case attempt_end::disconnected: return "disconnected";
     }
     return "unknown";
 }
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -81,7 +81,7 @@
         message.headers = {{"host", "h.example"}, {"request-id", id}};
         message.headers.insert(message.headers.end(), headers.begin(), headers.end());
         request_key const key(++last_key);
-        requests->start(key, std::move(message), {waited, round_trip}, now);
+        requests->start(key, std::move(message), {waited, round_trip}, caller, now);
         return key;
     }
 
@@ -128,6 +128,7 @@
     backend_registry registry;                      ///< Backend servers.
     clock::duration waited{0};                      ///< Time that requests have waited unread.
     clock::duration round_trip{0};                  ///< Time on the network of the requests.
+    caller_address caller{"192.0.2.1"};             ///< Who sends them.
     std::vector<attempt_order> sent;                ///< Attempts in order.
     std::set<std::uint64_t> cancelled;              ///< Attempts given up.
     std::map<std::uint64_t, http_response> answers; ///< By request key.
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -114,7 +114,8 @@
                 m_domains[body["rename"]] = m_domains[server->id()];
                 server->rename(body["rename"]);
             }
-            server->behave({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1)});
+            server->behave({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1),
+                            body.value("crash_path", ""), body.value("down_ms", 1000)});
         }
     }
 
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -6,7 +6,12 @@
 shard_server::shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal)
     : m_loop(loop), m_id(std::move(id)), m_service(std::move(service)), m_journal(journal)
 {
-    m_listener = std::make_unique<tcp_listener>(loop, endpoint{"127.0.0.1", 0}, [this](int socket) {
+    listen(0);
+}
+
+void shard_server::listen(std::uint16_t port)
+{
+    m_listener = std::make_unique<tcp_listener>(m_loop, endpoint{"127.0.0.1", port}, [this](int socket) {
         auto const number = ++m_last;
         auto& made = m_connections[number];
         made.reader = std::make_unique<message_reader>(message_reader::kind::request);
@@ -17,6 +22,15 @@
         };
         made.stream = std::make_unique<tcp_stream>(m_loop, socket, stream_options{}, std::move(events));
     });
+    m_port = m_listener->port();
+}
+
+void shard_server::crash()
+{
+    if (!m_listener) return;
+    m_connections.clear();
+    m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.down_ms), [this] { listen(m_port); });
+    m_listener.reset();
 }
 
 std::string shard_server::records(std::string const& service, std::string const& request_id)
@@ -74,6 +88,10 @@
         stream.send(serialize(refusal, false));
         return;
     }
+    if (!m_behaviour.crash_path.empty() && request.path == m_behaviour.crash_path) {
+        m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms), [this] { crash(); });
+        return;
+    }
     if (mode == "hang") return;
     if (mode == "reset" || mode == "silent_run") {
         m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms),
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -15,6 +15,10 @@
     std::string mode = "ok";
     int work_ms = 5; ///< Time a request takes.
     int times = -1;  ///< Requests it applies to; -1: all.
+    /** A request for this path crashes the backend server that runs it, whatever the mode: all its connections close,
+     *  and it refuses new ones until it is back. Empty: none does. */
+    std::string crash_path;
+    int down_ms = 1000; ///< Time until it is back.
 };
 
 /** A request that reached a backend server. */
@@ -34,7 +38,7 @@
     /** @param loop event loop. @param id its id. @param service its service. @param journal receives what arrives. */
     shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal);
     /** @return the bound port. */
-    std::uint16_t port() const { return m_listener->port(); }
+    std::uint16_t port() const { return m_port; }
     /** @return its id. */
     std::string const& id() const { return m_id; }
     /** @return its service. */
@@ -57,6 +61,10 @@
     void on_request(std::uint64_t number, http_request request);
     void answer(std::uint64_t number, http_request const& request, std::string const& mode);
     std::string take_mode();
+    /** Listens at @p port; 0 picks one. */
+    void listen(std::uint16_t port);
+    /** Ends all connections, and is back after a while. */
+    void crash();
     http_response make_answer(http_request const& request) const;
 
     event_loop& m_loop;                                          ///< Event loop.
@@ -66,7 +74,8 @@
     shard_behaviour m_behaviour;                                 ///< What it does.
     std::unordered_map<std::uint64_t, connection> m_connections; ///< By number.
     std::uint64_t m_last = 0;                                    ///< Last number.
-    std::unique_ptr<tcp_listener> m_listener;                    ///< Listener.
+    std::uint16_t m_port = 0;                                    ///< Bound port.
+    std::unique_ptr<tcp_listener> m_listener;                    ///< Listener; null while it is down.
 };
 
 } // namespace cornelspring::testing
