Requests that crash backend servers are known by what they ask, tried at one server, and kept away from then on

What callers saw: for most of a minute no query over shards was answered; with the servers of a service down all queries were refused or failed. Users saw one request sent 11 times more after it had ended three servers. Cause: an attempt under which a server closed the connection counted against the server only. Nothing was kept of the request: the second server of each shard got it at once, and the next gateway knew nothing of it. Change: (1) within a request, the first such loss holds further sends until some shard has answered, the second gives up what is under way, and one server at a time is asked until one answers. (2) A request that ends so is a suspect, by the digest of method, host, path, body and caller: the next one like it goes to one server. After three crashes, the last of them in such a trial, it is refused at once, truly not run, for a minute, then twice as long each time. (3) What a gateway has seen is a key in the store under a lease of ten minutes, which the feed brings to all others, also to those that start later. Why it holds: only a server's answer clears a request; no answer, a caller that leaves included, convicts. Innocent queries that lose servers to others are cleared by the first answer, at the price of one answer's time.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -143,9 +143,10 @@
     milliseconds spent{0};             ///< Time of its caller that had gone when it was read, or goes with its answer.
     int failed_attempts = 0;           ///< Attempts that failed.
     int disconnects = 0;               ///< Of these, ended by the backend server's closing the connection.
-    request_digest digest;             ///< Of the request, when some were: the same for its repetitions.
+    request_digest digest;             ///< Of the request, once it was looked at: the same for its repetitions.
     caller_address caller;             ///< Who sent it.
-    std::string line;                  ///< Then also its method, host and path, as far as a log line takes them.
+    bool cautious = false;             ///< It went to one backend server at a time.
+    std::string line;                  ///< With a digest: method, host and path, as far as a log line takes them.
     std::string failures;              ///< The first of these: backend server and reason.
     std::string extra;                 ///< The first hedges and retries: why there, and the budget that was left.
     int hedges_denied = 0;             ///< Hedges that were due and not sent.
@@ -224,9 +225,9 @@
 class dispatcher {
 public:
     /** @param options settings. @param configs configuration in force. @param registry backend servers.
-     *  @param hooks outside calls. @param seed random seed. */
+     *  @param quarantine requests that crash them. @param hooks outside calls. @param seed random seed. */
     dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-               dispatcher_hooks hooks, std::uint64_t seed);
+               request_quarantine& quarantine, dispatcher_hooks hooks, std::uint64_t seed);
     ~dispatcher();
     /** Takes in a whole request. @param key new key for it. @param message as received. @param timing its time before
      *  and after. @param caller who sent it. @param now present time. */
--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -5,6 +5,9 @@
 
 #include <cornelspring/net.hpp>
 
+#include <map>
+#include <unordered_map>
+
 namespace cornelspring {
 
 /** Address of a caller, without its port: it connects anew, and from another port, for a repeated request. */
@@ -19,4 +22,119 @@
  */
 request_digest digest_of(http_request const& request, caller_address const& caller);
 
+/** What is believed of a request. */
+enum class request_standing {
+    clear,       ///< Nothing speaks against it.
+    suspect,     ///< Backend servers ended under it and none answered it: it goes to one at a time.
+    quarantined, ///< It crashes backend servers: it goes to none.
+};
+
+/** What one gateway has seen of one request, as gateways tell each other. */
+struct crash_record {
+    request_digest digest;           ///< The request.
+    int crashes = 0;                 ///< Backend servers that ended under it.
+    int convictions = 0;             ///< Times that it was put into quarantine.
+    milliseconds quarantine_left{0}; ///< Time that it stays there.
+    bool operator==(crash_record const&) const = default;
+};
+
+/** Settings of the quarantine. */
+struct quarantine_options {
+    /** Crashes from which a request counts as their cause: fewer come together by chance when servers fail. */
+    int convicting_crashes = 3;
+    milliseconds first{60000};    ///< Length of the first quarantine; each further one is twice as long.
+    milliseconds longest{600000}; ///< Longest quarantine. As long is remembered what was seen of a request.
+    std::size_t kept = 256;       ///< Requests remembered; the oldest are forgotten first.
+};
+
+/**
+ * Remembers under which requests backend servers ended without answering, on this VM and on others. It answers requests
+ * that crash every server that runs them: the server is back after seconds and so is the request, at any gateway, so
+ * that neither one attempt nor one VM sees enough. A suspect is not refused, since a request may have been at several
+ * servers that failed for another reason: it goes to one server at a time, and an answer clears it. Only a request
+ * whose servers go on to end is refused, for a time, since servers get repaired.
+ */
+class request_quarantine {
+public:
+    /** A change of what is believed, for logs. */
+    struct change {
+        request_digest digest;                               ///< The request.
+        request_standing standing = request_standing::clear; ///< What is believed of it now.
+        int crashes = 0;                                     ///< Crashes seen by all gateways.
+        std::string source;                                  ///< Gateway that told; empty: seen here.
+    };
+    /** @param options settings. */
+    explicit request_quarantine(quarantine_options options = {}) : m_options(options) {}
+    /** Sets the hook for changes. @param hook called after each. */
+    void on_change(std::function<void(change const&)> hook) { m_on_change = std::move(hook); }
+
+    /** @return whether nothing is known of any request, so that no digest is needed. */
+    bool empty() const { return m_requests.empty(); }
+    /** @return what is believed of a request. @param digest request. @param now present time. */
+    request_standing standing(request_digest const& digest, time_point now) const;
+    /** @return how long a request stays in quarantine; 0 when it is in none. @param digest request. @param now time. */
+    milliseconds quarantine_left(request_digest const& digest, time_point now) const;
+    /** @return whether so many crashes, with those known, convict a request. @param digest request. @param crashes more
+     *  crashes than are known here. */
+    bool convicts(request_digest const& digest, int crashes) const;
+
+    /** @return whether this VM has sent a suspect to a backend server and waits for the outcome. @param digest request.
+     */
+    bool on_trial(request_digest const& digest) const;
+    /** A suspect goes to a backend server. @param digest request. */
+    void begin_trial(request_digest const& digest);
+    /** The outcome is there, or none will be. @param digest request. */
+    void end_trial(request_digest const& digest);
+    /** Backend servers ended under a request that none has answered. @param digest request. @param crashes how many.
+     *  @param now present time. */
+    void on_crashes(request_digest const& digest, int crashes, time_point now);
+    /** Puts a request into quarantine. @param digest request. @param now present time. */
+    void convict(request_digest const& digest, time_point now);
+    /** A backend server answered a request: it does not crash them. @param digest request. @param now present time. */
+    void on_answered(request_digest const& digest, time_point now);
+
+    /** @return what this VM tells the others. @param now present time. */
+    std::vector<crash_record> told(time_point now) const;
+    /** Takes in what another gateway tells; it replaces what that one told before, but a quarantine lasts.
+     *  @param source which gateway. @param records what it has seen. @param now present time. */
+    void learn(std::string const& source, std::vector<crash_record> const& records, time_point now);
+    /** Takes up what this VM told before it started again. @param records as told. @param now present time. */
+    void resume(std::vector<crash_record> const& records, time_point now);
+
+private:
+    /** What is known of one request. */
+    struct known_request {
+        int own_crashes = 0;             ///< Seen here.
+        std::map<std::string, int> told; ///< Told by other gateways.
+        int convictions = 0;             ///< Most that any gateway tells.
+        bool convicted_here = false;     ///< The last one was pronounced here.
+        time_point quarantined_until;    ///< End of the quarantine.
+        time_point forget_at;            ///< Nothing was seen for so long.
+        bool on_trial = false;           ///< This VM has sent it to a backend server.
+        /** @return crashes seen by all. */
+        int crashes() const;
+        /** @return what is believed of it. */
+        request_standing standing(time_point now) const;
+    };
+    /** @return the record of a request, made when absent, remembered from now on. */
+    known_request& remember(request_digest const& digest, time_point now);
+    /** Forgets what is old, and the oldest beyond those kept. */
+    void forget(time_point now);
+    /** Takes in the quarantine that a record tells of. */
+    void extend_quarantine(known_request& request, crash_record const& record, time_point now) const;
+    /** Reports what is believed of a request. */
+    void report(request_digest const& digest, std::string const& source, time_point now);
+
+    quarantine_options m_options;                              ///< Settings.
+    std::unordered_map<std::string, known_request> m_requests; ///< By digest.
+    std::function<void(change const&)> m_on_change;            ///< Hook.
+};
+
+/** @return the name of @p standing for logs. @param standing the standing. */
+char const* to_string(request_standing standing);
+/** @return records as the value of a store key. @param records records. */
+std::string encode_crash_records(std::vector<crash_record> const& records);
+/** @return the records in @p value. @param value store value. @throw error bad_request when malformed. */
+std::vector<crash_record> decode_crash_records(std::string const& value);
+
 } // namespace cornelspring
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -6,9 +6,6 @@
 namespace cornelspring {
 namespace {
 
-/** Characters of a request's method, host and path in the log. */
-constexpr std::size_t logged_line_length = 120;
-
 /** @return whether @p status promises a caller that its request has not run and never will. */
 bool promises_not_run(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
 
@@ -101,6 +98,7 @@
         for (auto const id : shard.open)
             release(id, observe, now);
     }
+    draw_conclusions(*request, now);
     request->summary.status = response.status;
     request->summary.reason = reason;
     hooks.answer(key, std::move(response));
@@ -112,11 +110,7 @@
     auto& summary = request.summary;
     summary.answered = request.done;
     summary.took = std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived);
-    if (summary.disconnects > 0) {
-        auto const& message = request.message;
-        summary.digest = digest_of(message, summary.caller);
-        summary.line = (message.method + " " + message.header("host") + message.path).substr(0, logged_line_length);
-    }
+    if (summary.disconnects > 0) look_at(request);
     hooks.finished(summary);
 }
 
@@ -179,8 +173,8 @@
 // ---- Public interface ----
 
 dispatcher::dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-                       dispatcher_hooks hooks, std::uint64_t seed)
-    : m_impl(std::make_unique<impl>(std::move(options), configs, registry, std::move(hooks), seed))
+                       request_quarantine& quarantine, dispatcher_hooks hooks, std::uint64_t seed)
+    : m_impl(std::make_unique<impl>(std::move(options), configs, registry, quarantine, std::move(hooks), seed))
 {
 }
 
@@ -206,6 +200,7 @@
         for (auto const id : shard.open)
             m_impl->release(id, false, now);
     }
+    m_impl->draw_conclusions(*request, now);
     request->summary.reason = "caller_gone";
     m_impl->report(*request, now);
 }
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -69,6 +69,17 @@
         answer_at_once(key, request.summary, refusal("too little time is left", options.retry_after_s), "no_time");
         return;
     }
+    auto const standing = look_up(request, now);
+    if (standing == request_standing::quarantined) {
+        answer_at_once(key, request.summary, quarantine_refusal(request, now), "quarantined");
+        return;
+    }
+    bool const suspect = standing == request_standing::suspect;
+    if (suspect && quarantine.on_trial(request.summary.digest)) {
+        auto const text = "this request is being tried at one backend server, after others crashed";
+        answer_at_once(key, request.summary, refusal(text, options.retry_after_s), "on_trial");
+        return;
+    }
     add_shards(request, now);
     if (double const wait = blocked_wait_s(request, now); wait > 0) {
         answer_at_once(key, request.summary, refusal("too few backend servers have room", wait), "no_room");
@@ -79,9 +90,9 @@
         return;
     }
     request.head_bytes = head_bytes(request);
+    if (suspect) begin_trial(request);
     open.emplace(key.value(), std::move(made));
-    for (std::size_t i = 0; i < request.shards.size(); ++i)
-        first_attempt(request, i, now);
+    first_attempts(request, now);
     rearm(request, now);
     check_finish(request, now);
 }
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -72,8 +72,9 @@
     order.caller_id = request.summary.caller_id;
     order.head_request = request.message.method == "HEAD";
     order.repeatable = request.via->kind == route_kind::idempotent;
-    attempts.emplace(id.value(), open_attempt{request.key, index, shard.group, chosen.target,
-                                              &request.latencies->of(chosen.target->where), now, false});
+    attempts.emplace(id.value(),
+                     open_attempt{request.key, index, shard.group, chosen.target,
+                                  &request.latencies->of(chosen.target->where), now, request.cautious, false});
     chosen.target->load.on_sent();
     shard.tried.push_back(chosen.target->entry.id);
     shard.open.push_back(id);
@@ -81,13 +82,21 @@
     ++shard.arrivals;
     ++shard.runs;
     ++request.summary.sent;
+    if (request.cautious) ++request.trials;
     if (reason != attempt_reason::first) note_extra(request, *shard.group, chosen, reason, now);
-    bool const may_hedge = order.repeatable && shard.runs < request.via->attempts;
-    shard.hedge_postponed = false;
-    shard.hedge_at = may_hedge ? now + hedge_delay(request, chosen.target->where) : time_point::max();
+    plan_hedge(request, shard, chosen.target->where, now);
     hooks.send(std::move(order));
 }
 
+void dispatcher::impl::plan_hedge(request_state const& request, shard_state& shard, proximity where,
+                                  time_point now) const
+{
+    bool const repeatable = request.via->kind == route_kind::idempotent;
+    bool const may_hedge = repeatable && !request.cautious && shard.runs < request.via->attempts;
+    shard.hedge_postponed = false;
+    shard.hedge_at = may_hedge ? now + hedge_delay(request, where) : time_point::max();
+}
+
 void dispatcher::impl::note_extra(request_state& request, service_group& group, selection const& chosen,
                                   attempt_reason reason, time_point now)
 {
@@ -199,6 +208,7 @@
 {
     auto& shard = request.shards[index];
     shard.retry_at = time_point::max();
+    shard.held = false;
     bool const may_run_again = shard.runs < (request.via->kind == route_kind::idempotent ? request.via->attempts : 1);
     if (!may_run_again || shard.sends >= request.via->attempts + extra_sends) {
         shard_failed(request, index, now);
@@ -235,16 +245,19 @@
     if (auto const owner = open.find(attempt.request.value()); owner != open.end() && !attempt.observed) {
         auto& request = *owner->second;
         std::erase(request.shards[attempt.shard].open, id);
+        if (attempt.trial && !may_have_run(result.end)) --request.trials;
         if (result.end != attempt_end::answered && ++request.summary.failed_attempts <= failures_named) {
             request.summary.failures +=
                 attempt.target->entry.id.value() + ":" + to_string(result.end) + ":" + result.detail + " ";
         }
-        if (result.end == attempt_end::disconnected) ++request.summary.disconnects;
         if (result.end == attempt_end::answered) {
+            bool const held = on_survived(request, now);
             on_answer(request, attempt.shard, std::move(result.response), now);
-        } else {
+            if (held) send_held(request, now);
+        } else if (result.end != attempt_end::disconnected || on_disconnect(request, attempt.shard, now)) {
             on_failure(request, attempt.shard, result, now);
         }
+        if (request.cautious) next_cautious(request, now);
     }
     pump(*attempt.group, now);
 }
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -16,6 +16,7 @@
     dispatcher_options options;                                             ///< Settings.
     config_holder const& configs;                                           ///< Configuration in force.
     backend_registry& registry;                                             ///< Backend servers.
+    request_quarantine& quarantine;                                         ///< Requests that crash them.
     dispatcher_hooks hooks;                                                 ///< Outside calls.
     std::mt19937_64 random;                                                 ///< Tie breaks and jitter.
     std::size_t vms = 1;                                                    ///< VMs that share budgets.
@@ -32,8 +33,9 @@
     /** Requests that ended during the present outside call; functions further up may still refer to them. */
     std::vector<std::unique_ptr<request_state>> ended;
 
-    impl(dispatcher_options o, config_holder const& c, backend_registry& r, dispatcher_hooks h, std::uint64_t seed)
-        : options(std::move(o)), configs(c), registry(r), hooks(std::move(h)), random(seed)
+    impl(dispatcher_options o, config_holder const& c, backend_registry& r, request_quarantine& q, dispatcher_hooks h,
+         std::uint64_t seed)
+        : options(std::move(o)), configs(c), registry(r), quarantine(q), hooks(std::move(h)), random(seed)
     {
     }
 
@@ -86,10 +88,37 @@
     /** @return the refusal for load, with the time to come back. */
     http_response return_later(request_state const& request);
 
+    /** Notes the digest of a request, for the quarantine and the log. */
+    static void look_at(request_state& request);
+    /** @return what is believed of a request that arrives. */
+    request_standing look_up(request_state& request, time_point now) const;
+    /** @return the refusal of a request in quarantine, with the time that it stays there. */
+    http_response quarantine_refusal(request_state const& request, time_point now) const;
+    /** A suspect begins: it goes to one backend server at a time. */
+    void begin_trial(request_state& request);
+    /** Sends the first attempts of all shards, or of one when the request is cautious. */
+    void first_attempts(request_state& request, time_point now);
+    /** A backend server closed the connection under a request. @return whether the shard is to be tried again now. */
+    bool on_disconnect(request_state& request, std::size_t index, time_point now);
+    /** Sends nothing more until a backend server answers, or all attempts have ended; then to one at a time. */
+    void become_cautious(request_state& request);
+    /** Gives up what runs of a cautious request, where it may be sent again. */
+    void hold_all(request_state& request, time_point now);
+    /** Sends the next attempt of a cautious request that has none under way. */
+    void next_cautious(request_state& request, time_point now);
+    /** A backend server answered, so that it has not crashed under the request. @return whether shards are held. */
+    bool on_survived(request_state& request, time_point now);
+    /** Sends the shards of a request that was cautious until now. */
+    void send_held(request_state& request, time_point now);
+    /** Notes for later requests what became of the servers under one that has ended. */
+    void draw_conclusions(request_state& request, time_point now);
+
     /** @return most attempts in flight from this VM at one backend server of the shard. */
     int room(request_state const& request, shard_state const& shard) const;
     /** @return how long an attempt at that distance runs before it is hedged. */
     milliseconds hedge_delay(request_state const& request, proximity where) const;
+    /** Sets when the attempt of a shard that is under way at @p where is hedged. */
+    void plan_hedge(request_state const& request, shard_state& shard, proximity where, time_point now) const;
     /** Chooses a backend server and sends an attempt. @return why not, if not. */
     selection_miss send(request_state& request, std::size_t index, attempt_reason reason, time_point now);
     /** Sends an attempt to a chosen backend server. */
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -25,6 +25,7 @@
     std::shared_ptr<backend_server> target; ///< Backend server.
     time_window* latencies = nullptr;       ///< Window of the route, for its sample.
     time_point sent;                        ///< When it was sent.
+    bool trial = false;                     ///< Sent while its request was cautious.
     bool observed = false;                  ///< Its shard is done; it runs on only to time its backend server.
 };
 
@@ -39,6 +40,7 @@
     bool done = false;                   ///< A usable answer is there.
     bool failed = false;                 ///< Given up.
     bool waiting = false;                ///< In the group's queue for room.
+    bool held = false;                   ///< Waits until another shard of a cautious request was answered.
     time_point hedge_at;                 ///< When to hedge; max: never.
     bool hedge_postponed = false;        ///< The hedge came up late once.
     time_point retry_at;                 ///< When to try again; max: never.
@@ -65,6 +67,10 @@
     std::size_t needed = 1;                       ///< Shards that a success needs.
     admission_control* admission = nullptr;       ///< Where it was admitted; null when it was not asked.
     bool half_answered = false;                   ///< Half of the shards have answered.
+    bool cautious = false;                        ///< It goes to one backend server at a time.
+    bool on_trial = false;                        ///< It was a suspect when it came.
+    bool survived = false;                        ///< Some backend server answered it.
+    int trials = 0;                               ///< Attempts sent while it was cautious that may have run.
     request_summary summary;                      ///< For logs.
     /** @return whether the route gathers shards. */
     bool gathers() const { return via->gather.has_value(); }
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -33,6 +33,7 @@
         std::size_t region = 0;                                       ///< Region.
         config_holder configs;                                        ///< Configuration.
         std::unique_ptr<backend_registry> registry;                   ///< Backend servers.
+        request_quarantine quarantine;                                ///< Requests that crash backend servers.
         std::unique_ptr<dispatcher> requests;                         ///< Decisions.
         std::unordered_map<std::uint64_t, caller_task> open;          ///< Callers by request key.
         std::unordered_map<std::uint64_t, std::shared_ptr<job>> jobs; ///< Attempts under way.
@@ -156,8 +157,8 @@
     };
     hooks.answer = [this, &vm](request_key key, http_response response) { answered(vm, key, response); };
     hooks.finished = [](request_summary const&) {};
-    vm.requests =
-        std::make_unique<dispatcher>(m_deployment.options, vm.configs, *vm.registry, std::move(hooks), m_random());
+    vm.requests = std::make_unique<dispatcher>(m_deployment.options, vm.configs, *vm.registry, vm.quarantine,
+                                               std::move(hooks), m_random());
 
     vm.requests->set_vms(static_cast<std::size_t>(m_deployment.vms));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,7 +32,8 @@
         metrics.on_request(summary);
         log.on_request(summary, followers.age());
     };
-    requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, std::move(hooks), random());
+    requests =
+        std::make_unique<dispatcher>(settings.dispatch, configs, registry, quarantine, std::move(hooks), random());
     requests->set_vms(least_vms);
 }
 
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -9,6 +9,10 @@
 
 /** Store prefix of the gateways' registrations. */
 inline constexpr char const* member_prefix = "gateways/";
+/** Store prefix of what gateways tell each other of requests that crash backend servers. */
+inline constexpr char const* crash_records_prefix = "crash-records/";
+/** Such a record stays so long in the store after its gateway has gone: as long as the longest quarantine. */
+inline constexpr milliseconds crash_records_ttl{600000};
 /** Entries that lapsed during a store outage have this long to come back after its return. */
 inline constexpr milliseconds lapse_grace{2200};
 /** Gateways assumed to share the budgets before the others are known. */
@@ -21,6 +25,7 @@
     event_loop loop;                                ///< The I/O thread.
     config_holder configs;                          ///< Configuration in force.
     backend_registry registry;                      ///< Backend servers.
+    request_quarantine quarantine;                  ///< Requests that crash backend servers.
     member_map members;                             ///< Gateways.
     std::set<std::string> active;                   ///< Gateways that callers are sent to.
     state_mirror mirror;                            ///< Copy of the store.
@@ -38,6 +43,9 @@
     feed_calls source_calls;                        ///< Calls of the feed.
     std::unique_ptr<state_feed> feed;               ///< Keeps the copy of the store current.
     std::unique_ptr<registration> registered;       ///< This VM's key in the store.
+    std::unique_ptr<registration> crash_records;    ///< Its key for requests that crash backend servers.
+    bool crash_records_due = false;                 ///< It is about to be written.
+    bool tells_crash_records = false;               ///< This process has seen something to tell.
     std::mt19937_64 random{std::random_device{}()}; ///< Order of address answers.
     timer_id dispatch_timer;                        ///< Wakes the dispatcher.
     time_point dispatch_due = time_point::max();    ///< When it does.
@@ -108,6 +116,12 @@
     void remove_backend(backend_id const& id, std::int64_t revision);
     /** Takes in the registration of a gateway. */
     void on_member(store_item const& item);
+    /** @return the store key of what this VM tells of requests that crash backend servers. */
+    std::string crash_records_key() const { return crash_records_prefix + settings.name; }
+    /** What is believed of a request has changed. */
+    void on_quarantine(request_quarantine::change const& change);
+    /** Takes in what a gateway tells of requests that crash backend servers. */
+    void on_crash_records(store_item const& item);
     /** Notes a change, for the log. */
     void note(std::string name, fate what, std::int64_t revision);
     /** Logs what was noted since the last time. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -12,6 +12,8 @@
 constexpr int source_lines = 20;
 /** The same for lines about what was learned: an answer of a source each 0.25 s. */
 constexpr int learned_lines = 5;
+/** The same for lines about requests that crash backend servers. */
+constexpr int quarantine_lines = 20;
 
 /** Keys of unreadable items that are remembered, so that each is written once. */
 constexpr std::size_t bad_items_kept = 1000;
@@ -123,8 +125,9 @@
         line += ",\"failures\":";
         append_quoted(line, summary.failures);
     }
-    if (summary.disconnects > 0) {
+    if (!summary.digest.value().empty()) {
         append_number(line, "disconnects", summary.disconnects);
+        line.append(",\"cautious\":").append(summary.cautious ? "true" : "false");
         line.append(",\"digest\":\"").append(summary.digest.value());
         line.append("\",\"caller\":\"").append(summary.caller.value()).append("\",\"line\":");
         append_quoted(line, summary.line);
@@ -182,6 +185,17 @@
     if (allowed(m_learned, learned_lines)) write(line);
 }
 
+void gateway_log::quarantine(request_quarantine::change const& change, milliseconds left)
+{
+    if (!allowed(m_quarantine, quarantine_lines)) return;
+    write({{"event", "quarantine"},
+           {"digest", change.digest.value()},
+           {"standing", to_string(change.standing)},
+           {"crashes", change.crashes},
+           {"left_ms", left.count()},
+           {"source", change.source.empty() ? "here" : change.source}});
+}
+
 void gateway_log::process(char const* event) { write({{"event", event}}); }
 
 } // namespace cornelspring
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -50,6 +50,9 @@
      * store revision up to which it is known. @param state_age age of the copy.
      */
     void learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision, milliseconds state_age);
+    /** What is believed of a request changed. @param change what and why. @param left how long it stays in quarantine.
+     */
+    void quarantine(request_quarantine::change const& change, milliseconds left);
     /** The process started, stops or reloads. @param event which. */
     void process(char const* event);
 
@@ -68,6 +71,7 @@
     log4cplus::Logger m_logger;                     ///< Logger.
     quota m_requests;                               ///< Lines about requests.
     quota m_sources;                                ///< Lines about the source of the store's state.
+    quota m_quarantine;                             ///< Lines about requests that crash backend servers.
     quota m_learned;                                ///< Lines about what was learned from it.
     std::map<std::string, std::string> m_bad_items; ///< Last reason written, by key.
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -8,6 +8,8 @@
 namespace cornelspring {
 namespace {
 
+/** What was seen of crashing requests is told once in this time: servers of many shards end within it. */
+constexpr milliseconds crash_records_gap{50};
 /** Connections of a backend server for each active gateway, those left free for restarts included. */
 constexpr double connections_per_gateway = 3.3;
 
@@ -50,6 +52,9 @@
     feed = std::make_unique<state_feed>(feed_selector(place, random()), source_calls.io(), std::move(events));
     registered = std::make_unique<registration>(loop, settings.store, codec, settings.lease_ttl,
                                                 [this](bool ok) { on_store_call(ok); });
+    crash_records = std::make_unique<registration>(loop, settings.store, codec, crash_records_ttl,
+                                                   [this](bool ok) { on_store_call(ok); });
+    quarantine.on_change([this](auto const& change) { on_quarantine(change); });
 }
 
 /** Notes whether a call to the store succeeded: entries may lapse during an outage and come back after it. */
@@ -161,6 +166,8 @@
             on_backend(item);
         } else if (item.key.starts_with(member_prefix)) {
             on_member(item);
+        } else if (item.key.starts_with(crash_records_prefix)) {
+            on_crash_records(item);
         }
     } catch (std::exception const& failure) {
         log.bad_item(item.key, item.revision, failure.what());
@@ -212,6 +219,30 @@
     if (is_new) note(item.key, fate::joined, item.revision);
 }
 
+void gateway::impl::on_quarantine(request_quarantine::change const& change)
+{
+    log.quarantine(change, quarantine.quarantine_left(change.digest, loop.now()));
+    if (!change.source.empty()) return; // Each gateway tells only what it has seen itself.
+    tells_crash_records = true;
+    if (std::exchange(crash_records_due, true)) return;
+    loop.run_at(loop.now() + crash_records_gap, [this] {
+        crash_records_due = false;
+        crash_records->set(crash_records_key(), encode_crash_records(quarantine.told(loop.now())));
+    });
+}
+
+void gateway::impl::on_crash_records(store_item const& item)
+{
+    auto const records = item.removed ? std::vector<crash_record>{} : decode_crash_records(item.value);
+    if (item.key != crash_records_key()) {
+        quarantine.learn(item.key, records, loop.now());
+    } else if (item.removed) {
+        crash_records->on_removed();
+    } else if (!tells_crash_records) {
+        quarantine.resume(records, loop.now());
+    }
+}
+
 void gateway::impl::expire_lapsed()
 {
     for (auto const& id : registry.expire(loop.now()))
--- /dev/null
+++ b/src/quarantine/request_quarantine.cpp
@@ -0,0 +1,177 @@
+/** @file request_quarantine.cpp Requests under which backend servers ended. */
+#include <cornelspring/quarantine.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+
+char const* to_string(request_standing standing)
+{
+    switch (standing) {
+    case request_standing::clear: return "clear";
+    case request_standing::suspect: return "suspect";
+    case request_standing::quarantined: return "quarantined";
+    }
+    return "unknown";
+}
+
+int request_quarantine::known_request::crashes() const
+{
+    int sum = own_crashes;
+    for (auto const& [source, count] : told)
+        sum += count;
+    return sum;
+}
+
+request_standing request_quarantine::known_request::standing(time_point now) const
+{
+    if (now < quarantined_until) return request_standing::quarantined;
+    return crashes() > 0 && now < forget_at ? request_standing::suspect : request_standing::clear;
+}
+
+request_standing request_quarantine::standing(request_digest const& digest, time_point now) const
+{
+    auto const found = m_requests.find(digest.value());
+    return found == m_requests.end() ? request_standing::clear : found->second.standing(now);
+}
+
+milliseconds request_quarantine::quarantine_left(request_digest const& digest, time_point now) const
+{
+    auto const found = m_requests.find(digest.value());
+    if (found == m_requests.end()) return milliseconds(0);
+    auto const left = found->second.quarantined_until - now;
+    return std::max(std::chrono::duration_cast<milliseconds>(left), milliseconds(0));
+}
+
+bool request_quarantine::convicts(request_digest const& digest, int crashes) const
+{
+    auto const found = m_requests.find(digest.value());
+    int const known = found == m_requests.end() ? 0 : found->second.crashes();
+    return known + crashes >= m_options.convicting_crashes;
+}
+
+bool request_quarantine::on_trial(request_digest const& digest) const
+{
+    auto const found = m_requests.find(digest.value());
+    return found != m_requests.end() && found->second.on_trial;
+}
+
+void request_quarantine::begin_trial(request_digest const& digest)
+{
+    auto const found = m_requests.find(digest.value());
+    if (found != m_requests.end()) found->second.on_trial = true;
+}
+
+void request_quarantine::end_trial(request_digest const& digest)
+{
+    auto const found = m_requests.find(digest.value());
+    if (found != m_requests.end()) found->second.on_trial = false;
+}
+
+void request_quarantine::on_crashes(request_digest const& digest, int crashes, time_point now)
+{
+    remember(digest, now).own_crashes += crashes;
+    report(digest, {}, now);
+}
+
+void request_quarantine::convict(request_digest const& digest, time_point now)
+{
+    auto& request = remember(digest, now);
+    auto length = m_options.first;
+    for (int i = 0; i < request.convictions && length < m_options.longest; ++i)
+        length *= 2;
+    ++request.convictions;
+    request.convicted_here = true;
+    request.quarantined_until = std::max(request.quarantined_until, now + std::min(length, m_options.longest));
+    report(digest, {}, now);
+}
+
+void request_quarantine::on_answered(request_digest const& digest, time_point now)
+{
+    if (m_requests.erase(digest.value()) > 0) report(digest, {}, now);
+}
+
+std::vector<crash_record> request_quarantine::told(time_point now) const
+{
+    std::vector<crash_record> records;
+    for (auto const& [digest, request] : m_requests) {
+        if (request.own_crashes == 0 || now >= request.forget_at) continue;
+        crash_record record{request_digest(digest), request.own_crashes, 0, milliseconds(0)};
+        if (request.convicted_here) {
+            record.convictions = request.convictions;
+            record.quarantine_left = quarantine_left(record.digest, now);
+        }
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+void request_quarantine::learn(std::string const& source, std::vector<crash_record> const& records, time_point now)
+{
+    std::map<std::string, crash_record> next;
+    for (auto const& record : records)
+        next.emplace(record.digest.value(), record);
+    for (auto& [digest, request] : m_requests) {
+        if (!next.contains(digest)) request.told.erase(source);
+    }
+    for (auto const& [digest, record] : next) {
+        auto const before = standing(record.digest, now);
+        auto& request = remember(record.digest, now);
+        request.told[source] = record.crashes;
+        extend_quarantine(request, record, now);
+        if (request.standing(now) != before) report(record.digest, source, now);
+    }
+}
+
+void request_quarantine::resume(std::vector<crash_record> const& records, time_point now)
+{
+    for (auto const& record : records) {
+        auto& request = remember(record.digest, now);
+        if (request.own_crashes > 0) continue;
+        request.own_crashes = record.crashes;
+        request.convicted_here = record.convictions > 0;
+        extend_quarantine(request, record, now);
+        report(record.digest, {}, now);
+    }
+}
+
+void request_quarantine::extend_quarantine(known_request& request, crash_record const& record, time_point now) const
+{
+    auto const left = std::min(record.quarantine_left, m_options.longest);
+    request.quarantined_until = std::max(request.quarantined_until, now + left);
+    request.convictions = std::max(request.convictions, record.convictions);
+}
+
+request_quarantine::known_request& request_quarantine::remember(request_digest const& digest, time_point now)
+{
+    if (!m_requests.contains(digest.value())) forget(now);
+    auto& request = m_requests[digest.value()];
+    request.forget_at = now + m_options.longest;
+    return request;
+}
+
+void request_quarantine::forget(time_point now)
+{
+    std::erase_if(m_requests, [now](auto const& each) {
+        auto const& request = each.second;
+        return !request.on_trial && now >= std::max(request.forget_at, request.quarantined_until);
+    });
+    if (m_requests.size() < m_options.kept) return;
+    // One on trial goes last: its outcome is about to come in.
+    auto const age_order = [](auto const& left, auto const& right) {
+        return std::pair(left.second.on_trial, left.second.forget_at) <
+               std::pair(right.second.on_trial, right.second.forget_at);
+    };
+    auto const oldest = std::min_element(m_requests.begin(), m_requests.end(), age_order);
+    m_requests.erase(oldest);
+}
+
+void request_quarantine::report(request_digest const& digest, std::string const& source, time_point now)
+{
+    if (!m_on_change) return;
+    auto const found = m_requests.find(digest.value());
+    int const crashes = found == m_requests.end() ? 0 : found->second.crashes();
+    m_on_change({digest, standing(digest, now), crashes, source});
+}
+
+} // namespace cornelspring
--- a/src/trace/trace.cpp
+++ b/src/trace/trace.cpp
@@ -89,6 +89,9 @@
     if (reason == "no_time") return "refused: the caller left too little time";
     if (reason == "overloaded") return "refused: queries queue at the backend servers (admission bound)";
     if (reason == "no_room") return "refused: too few shards have a backend server with room";
+    if (reason == "quarantined") return "refused: the request has crashed backend servers";
+    if (reason == "on_trial") return "refused: the request is being tried at one backend server, after others crashed";
+    if (reason == "crashed_servers") return "failed: backend servers crash under the request";
     if (reason == "caller_gone") return "caller left before the answer";
     if (reason == "deadline") return "deadline: " + words_for(failure);
     if (reason == "too_few_shards") return "too few shards: " + words_for(failure);
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -25,7 +25,7 @@
         hooks.cancel = [this](attempt_id id) { cancelled.insert(id.value()); };
         hooks.answer = [this](request_key key, http_response response) { answers[key.value()] = std::move(response); };
         hooks.finished = [this](request_summary const& summary) { finished.push_back(summary); };
-        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, std::move(hooks), 1);
+        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, quarantine, std::move(hooks), 1);
     }
 
     /** Registers a backend server named after service and replica. */
@@ -126,6 +126,7 @@
     time_point now = begin;                         ///< Virtual time.
     config_holder configs;                          ///< Configuration.
     backend_registry registry;                      ///< Backend servers.
+    request_quarantine quarantine;                  ///< Requests that crash backend servers.
     clock::duration waited{0};                      ///< Time that requests have waited unread.
     clock::duration round_trip{0};                  ///< Time on the network of the requests.
     caller_address caller{"192.0.2.1"};             ///< Who sends them.
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -72,6 +72,10 @@
  * Order of events: a query crashed every server that began to run it, at first 38 of 40 within 0.1 s, as each gateway
  * sends it to a second server of a shard when the first is lost. The servers came back after three seconds, the same
  * caller asked the same again at another gateway, and all were gone again; 451 servers started that day.
+ * Cause: an attempt under which a server closed the connection counted against the server only. Nothing was kept of the
+ * request, neither for the other shards of the same query, nor for its repetitions, nor for other gateways.
+ * Evidence: the log line of the first query of a wave, with 19 closed connections, no answer, and 38 servers asked, its
+ * neighbours having lost a part and got answers from the rest; and this test, in which 9 of 9 repetitions got through.
  */
 TEST_CASE("a query that crashes backend servers is known to all gateways, and kept from them from then on")
 {
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -30,3 +30,94 @@
     CHECK(first != digest_of(make_request("/a/bb", "ody", "id1"), caller)); // Parts cannot be shifted.
     CHECK(first.value().size() == 32);
 }
+
+namespace {
+
+time_point const begin{std::chrono::seconds(1000)};
+request_digest const deadly("00000000000000000000000000000001");
+request_digest const other("00000000000000000000000000000002");
+
+} // namespace
+
+TEST_CASE("quarantine: a request is suspect from the first crash on, and an answer clears it")
+{
+    request_quarantine quarantine;
+    CHECK(quarantine.empty());
+    quarantine.on_crashes(deadly, 1, begin);
+    CHECK(quarantine.standing(deadly, begin) == request_standing::suspect);
+    CHECK(quarantine.standing(other, begin) == request_standing::clear);
+    CHECK_FALSE(quarantine.convicts(deadly, 1));
+    CHECK(quarantine.convicts(deadly, 2));
+    quarantine.on_answered(deadly, begin);
+    CHECK(quarantine.standing(deadly, begin) == request_standing::clear);
+}
+
+TEST_CASE("quarantine: it ends, the request is tried again, and the next one is twice as long")
+{
+    request_quarantine quarantine;
+    auto const first = quarantine_options{}.first;
+    quarantine.on_crashes(deadly, 3, begin);
+    quarantine.convict(deadly, begin);
+    CHECK(quarantine.standing(deadly, begin + first - milliseconds(1)) == request_standing::quarantined);
+    CHECK(quarantine.standing(deadly, begin + first) == request_standing::suspect);
+    quarantine.on_crashes(deadly, 1, begin + first);
+    quarantine.convict(deadly, begin + first);
+    CHECK(quarantine.quarantine_left(deadly, begin + first) == 2 * first);
+    for (int i = 0; i < 20; ++i)
+        quarantine.convict(deadly, begin + first);
+    CHECK(quarantine.quarantine_left(deadly, begin + first) == quarantine_options{}.longest);
+    CHECK(quarantine.standing(deadly, begin + std::chrono::hours(1)) == request_standing::clear);
+}
+
+TEST_CASE("quarantine: what gateways see of a request adds up, and a quarantine holds at all of them")
+{
+    request_quarantine here;
+    request_quarantine there;
+    here.on_crashes(deadly, 1, begin);
+    there.on_crashes(deadly, 1, begin);
+    here.learn("there", there.told(begin), begin);
+    CHECK(here.convicts(deadly, 1));
+    here.on_crashes(deadly, 1, begin);
+    here.convict(deadly, begin);
+    there.learn("here", decode_crash_records(encode_crash_records(here.told(begin))), begin);
+    CHECK(there.standing(deadly, begin) == request_standing::quarantined);
+    CHECK(there.quarantine_left(deadly, begin) == quarantine_options{}.first);
+    // Each tells what it saw itself, so that nothing is counted twice.
+    CHECK(there.told(begin).size() == 1);
+    CHECK(there.told(begin)[0].crashes == 1);
+    CHECK(there.told(begin)[0].convictions == 0);
+    // A gateway whose record has gone takes back what it saw, but no quarantine.
+    there.learn("here", {}, begin);
+    CHECK(there.standing(deadly, begin) == request_standing::quarantined);
+    CHECK_FALSE(there.convicts(deadly, 1));
+}
+
+TEST_CASE("quarantine: a gateway that starts again takes up what it told before")
+{
+    request_quarantine before;
+    before.on_crashes(deadly, 3, begin);
+    before.convict(deadly, begin);
+    request_quarantine after;
+    after.resume(before.told(begin), begin);
+    CHECK(after.standing(deadly, begin) == request_standing::quarantined);
+    CHECK(after.told(begin) == before.told(begin));
+}
+
+TEST_CASE("quarantine: memory is bounded, and a request on trial is not forgotten")
+{
+    quarantine_options options;
+    options.kept = 8;
+    request_quarantine quarantine(options);
+    quarantine.on_crashes(deadly, 1, begin);
+    quarantine.begin_trial(deadly);
+    for (int i = 0; i < 100; ++i)
+        quarantine.on_crashes(request_digest("d" + std::to_string(i)), 1, begin + milliseconds(i + 1));
+    CHECK(quarantine.told(begin).size() <= options.kept);
+    CHECK(quarantine.on_trial(deadly));
+}
+
+TEST_CASE("quarantine: records of another format are refused")
+{
+    CHECK_THROWS_AS(decode_crash_records("{}"), error);
+    CHECK_THROWS_AS(decode_crash_records(R"({"requests":[{"digest":1}]})"), error);
+}
