--- a/include/cornelspring/emulator.hpp
+++ b/include/cornelspring/emulator.hpp
@@ -35,7 +35,8 @@
     double for_s = 1;    ///< Length.
     std::string kind;    ///< burst (x times the arrivals), slow (x times the work at share of the backend servers),
                          ///< dark (share of the backend servers is silent), crash (a share is gone and refuses
-                         ///< connections), restart (all gateways forget everything).
+                         ///< connections), restart (all gateways forget everything), crashing_request (one that
+                         ///< crashes the servers that run it comes again each x seconds, at any gateway).
     double x = 2;        ///< Strength.
     double share = 0.15; ///< Part of the backend servers.
     /** It strikes servers drawn at random, so that some shards lose all their replicas and most lose none; else it is
@@ -56,6 +57,8 @@
     double pause_ms = 300;              ///< Length of a pause.
     double pause_every_s = 7.5;         ///< Mean time between pauses; 0: none.
     int max_connections = 26;           ///< Connections a backend server accepts.
+    double told_ms = 300;               ///< Time until all gateways know what one tells of crashing requests.
+    double down_s = 3;                  ///< Time until a server that a request has crashed is back.
     double seconds = 20;                ///< Length of the run.
     std::uint64_t seed = 1;             ///< Random seed.
     std::vector<emulated_kind> kinds;   ///< Kinds of request.
@@ -83,6 +86,8 @@
     std::uint64_t attempts = 0;          ///< Attempts at backend servers.
     std::uint64_t other_region = 0;      ///< Attempts that crossed regions.
     std::uint64_t shed = 0;              ///< Attempts refused by backend servers.
+    int servers_crashed = 0;             ///< Backend servers that ended under a crashing request.
+    int crashing_repeats = 0;            ///< Repetitions of it that reached servers though it was to be known by then.
     /** @return value earned as a share of that owed. */
     double earned_share() const;
 };
--- a/src/dispatch/dispatcher_caution.cpp
+++ b/src/dispatch/dispatcher_caution.cpp
@@ -168,6 +168,8 @@
 {
     auto const& summary = request.summary;
     if (request.on_trial) quarantine.end_trial(summary.digest);
+    // Others may suspect by now what had begun before.
+    if (request.survived && !quarantine.empty()) quarantine.on_answered(digest_of(request.message), now);
     if (request.survived || (summary.disconnects == 0 && !request.on_trial)) return;
     look_at(request);
     if (summary.disconnects > 0) quarantine.on_crashes(summary.digest, summary.disconnects, now);
--- a/src/emulator/deployment_file.cpp
+++ b/src/emulator/deployment_file.cpp
@@ -78,10 +78,10 @@
     std::set<std::string> known{"kind", "scattered"};
     fault.kind = table.value("kind", "");
     fault.scattered = table.value("scattered", false);
-    std::set<std::string> const kinds{"burst", "slow", "dark", "crash", "restart"};
+    std::set<std::string> const kinds{"burst", "slow", "dark", "crash", "restart", "crashing_request"};
     if (!kinds.contains(fault.kind)) {
         throw error(error_kind::bad_settings, "unknown kind of fault '" + fault.kind + "'.",
-                    "Use burst, slow, dark, crash or restart.");
+                    "Use burst, slow, dark, crash, restart or crashing_request.");
     }
     read_numbers<double>(table,
                          {{"at_s", &fault.at_s, 0, 1e6},
@@ -116,6 +116,8 @@
                           {"local_ms", &made.local_ms, 0, 1000},
                           {"pause_ms", &made.pause_ms, 0, 60000},
                           {"pause_every_s", &made.pause_every_s, 0, 3600},
+                          {"told_ms", &made.told_ms, 0, 60000},
+                          {"down_s", &made.down_s, 0, 3600},
                           {"retry_ratio", &made.options.budget.ratio, 0, 10},
                           {"retry_slack", &made.options.budget.slack, 0, 1e6},
                           {"seconds", &made.seconds, 1, 3600}},
@@ -158,6 +160,7 @@
     }
     return {{"earned_share", result.earned_share()},     {"attempts", result.attempts},
             {"other_region", result.other_region},       {"shed", result.shed},
+            {"servers_crashed", result.servers_crashed}, {"crashing_repeats", result.crashing_repeats},
             {"share_by_second", result.share_by_second}, {"kinds", kinds}};
 }
 
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -12,15 +12,23 @@
 
 /** A caller's request, over its tries. */
 struct caller_task {
-    std::size_t kind = 0;   ///< Kind.
-    time_point begun;       ///< First try.
-    int tries = 0;          ///< Tries begun.
-    std::size_t region = 0; ///< Caller's region.
-    time_point try_begun;   ///< Present try.
-    bool sent_back = false; ///< Its first try was refused at once.
-    bool repeats = false;   ///< It repeats at once, whatever it is told.
+    std::size_t kind = 0;     ///< Kind.
+    time_point begun;         ///< First try.
+    int tries = 0;            ///< Tries begun.
+    std::size_t region = 0;   ///< Caller's region.
+    time_point try_begun;     ///< Present try.
+    bool sent_back = false;   ///< Its first try was refused at once.
+    bool repeats = false;     ///< It repeats at once, whatever it is told.
+    std::uint64_t number = 0; ///< Tells it from others, in its path.
 };
 
+/** Path of a crashing request, behind its kind. */
+constexpr char const* crashing_path = "crashing";
+/** A crashing request is known to all gateways so long after it has crashed the third server. */
+constexpr double known_after_s = 5;
+/** Crashes from which on it has to be known. */
+constexpr int crashes_to_know = 3;
+
 /** The whole model. */
 class model {
 public:
@@ -30,6 +38,7 @@
 private:
     /** A gateway: its own view and decisions. */
     struct gateway_vm {
+        std::string name;                                             ///< Name.
         std::size_t region = 0;                                       ///< Region.
         config_holder configs;                                        ///< Configuration.
         std::unique_ptr<backend_registry> registry;                   ///< Backend servers.
@@ -58,6 +67,12 @@
         return from == to ? m_deployment.local_ms : m_deployment.region_ms;
     }
     void plan_faults();
+    /** A request that crashes the servers that run it comes to some gateway. */
+    void start_crashing_request();
+    /** A server has ended under it. */
+    void on_crashed();
+    /** A gateway tells the others what it has seen of crashing requests. */
+    void tell_crash_records(gateway_vm& vm);
     /** @return the backend servers that a fault strikes. */
     std::vector<modelled_server*> struck_by(emulated_fault const& fault, std::uint64_t seed) const;
     /** Begins or ends a fault. */
@@ -70,6 +85,10 @@
     std::map<std::string, std::size_t> m_server_index;       ///< By id.
     std::vector<std::unique_ptr<gateway_vm>> m_vms;          ///< Gateways.
     std::vector<double> m_rate_factor;                       ///< By kind: present factor on arrivals.
+    std::mt19937_64 m_crashing_random{1};                    ///< Where crashing requests come, apart from all else.
+    std::map<std::string, std::vector<crash_record>> m_told; ///< What gateways have told of them, by name.
+    std::uint64_t m_last_task = 0;                           ///< Last number of a caller's request.
+    time_point m_known_from = time_point::max();             ///< From then on it has to be known.
     emulation_result m_result;                               ///< Output.
     std::vector<double> m_earned;                            ///< By second.
     std::vector<double> m_owed;                              ///< By second.
@@ -85,6 +104,7 @@
     }
     for (int i = 0; i < m_deployment.vms; ++i) {
         m_vms.push_back(std::make_unique<gateway_vm>());
+        m_vms.back()->name = "vm" + std::to_string(i);
         m_vms.back()->region = static_cast<std::size_t>(i % m_deployment.regions);
         boot(*m_vms.back());
     }
@@ -135,6 +155,13 @@
     auto const cut = std::exchange(vm.open, {});
     for (auto const& [key, task] : cut)
         try_again(task, {});
+    vm.quarantine = request_quarantine();
+    for (auto const& [name, records] : m_told) {
+        if (name != vm.name) vm.quarantine.learn(name, records, m_todo.now());
+    }
+    vm.quarantine.on_change([this, &vm](request_quarantine::change const& change) {
+        if (change.source.empty()) tell_crash_records(vm);
+    });
     vm.configs.offer(make_config());
     int number = 0;
     for (int shard = 0; shard < m_deployment.shards; ++shard) {
@@ -199,6 +226,7 @@
                                    [&](auto const& k) { return k.name == name; });
     auto work = std::make_shared<job>();
     work->work_ms = draw_work(*kind);
+    if (order.caller_id == crashing_path) work->crashes = [this] { on_crashed(); };
     work->done = [this, &vm, id = order.id, way, life = vm.life](attempt_end end) {
         m_todo.at(m_todo.now() + way, [this, &vm, id, end, life] {
             if (vm.life != life || vm.jobs.erase(id.value()) == 0) return;
@@ -216,6 +244,36 @@
     });
 }
 
+void model::start_crashing_request()
+{
+    auto& vm = *m_vms[m_crashing_random() % m_vms.size()];
+    http_request message;
+    message.path = "/" + m_deployment.kinds.front().name + "/" + crashing_path;
+    message.headers = {{"host", "h"},
+                       {"request-id", crashing_path},
+                       {"deadline", std::to_string(m_deployment.kinds.front().deadline_ms)}};
+    auto const before = m_result.attempts;
+    vm.requests->start(request_key(++vm.last_key), std::move(message), {}, {}, m_todo.now());
+    if (m_todo.now() >= m_known_from && m_result.attempts > before) ++m_result.crashing_repeats;
+    wake(vm);
+}
+
+void model::on_crashed()
+{
+    if (++m_result.servers_crashed != crashes_to_know) return;
+    m_known_from = m_todo.now() + from_ms(known_after_s * 1000);
+}
+
+void model::tell_crash_records(gateway_vm& vm)
+{
+    m_todo.at(m_todo.now() + from_ms(m_deployment.told_ms), [this, &vm] {
+        auto const records = m_told[vm.name] = vm.quarantine.told(m_todo.now());
+        for (auto const& other : m_vms) {
+            if (other.get() != &vm) other->quarantine.learn(vm.name, records, m_todo.now());
+        }
+    });
+}
+
 void model::plan_arrival(std::size_t kind)
 {
     std::exponential_distribution<double> gap(m_deployment.kinds[kind].per_second * m_rate_factor[kind]);
@@ -223,6 +281,7 @@
         if (seconds_of(m_todo.now()) >= m_deployment.seconds) return;
         caller_task task;
         task.kind = kind;
+        task.number = ++m_last_task;
         task.begun = m_todo.now();
         task.repeats = std::bernoulli_distribution(m_deployment.kinds[kind].repeat_share)(m_random);
         task.region = m_random() % static_cast<std::size_t>(m_deployment.regions);
@@ -247,7 +306,7 @@
     auto const& kind = m_deployment.kinds[task.kind];
     auto const left = from_ms(kind.deadline_ms) - (m_todo.now() - task.begun);
     http_request message;
-    message.path = "/" + kind.name + "/x";
+    message.path = "/" + kind.name + "/" + std::to_string(task.number);
     message.headers = {{"host", "h"},
                        {"request-id", "id"},
                        {"deadline", std::to_string(std::chrono::duration_cast<milliseconds>(left).count())}};
@@ -316,6 +375,11 @@
 {
     auto draw_seed = m_deployment.seed * 1000; // Drawn apart from all else, so that a fault more changes no other draw.
     for (auto const& fault : m_deployment.faults) {
+        if (fault.kind == "crashing_request") {
+            for (double at_s = fault.at_s; at_s < fault.at_s + fault.for_s; at_s += fault.x)
+                m_todo.at(epoch + from_ms(at_s * 1000), [this] { start_crashing_request(); });
+            continue;
+        }
         auto const struck = struck_by(fault, draw_seed++);
         m_todo.at(epoch + from_ms(fault.at_s * 1000), [=, this, &fault] { apply_fault(fault, struck, true); });
         m_todo.at(epoch + from_ms((fault.at_s + fault.for_s) * 1000),
--- a/src/emulator/modelled_server.hpp
+++ b/src/emulator/modelled_server.hpp
@@ -18,6 +18,7 @@
     double work_ms = 0;                    ///< Work.
     std::function<void(attempt_end)> done; ///< Receives the end.
     bool cancelled = false;                ///< Given up by the gateway.
+    std::function<void()> crashes;         ///< Set for work that crashes its server: told when it does.
 };
 
 /** A backend server: slots, queue, pauses, faults. */
@@ -90,6 +91,12 @@
             m_todo.at(m_paused_until, [this, work] { finish(work); });
             return;
         }
+        if (work->crashes) {
+            work->crashes();
+            crash(true);
+            m_todo.at(m_todo.now() + from_ms(m_deployment.down_s * 1000), [this] { crash(false); });
+            return;
+        }
         m_at_work.erase(found);
         if (!work->cancelled && !dark) work->done(attempt_end::answered);
         start_some();
