A query that is answered again and again is not taken for one that crashes servers; the soak plays crashing queries

Order of events: one query crashed the servers; the query that all callers of the soak ask ran on them too, lost two servers unanswered, then the one that it was tried at, and was put into quarantine for a minute at every gateway. Cause: what speaks against a request was kept and told, what speaks for it was not. Change: answers of the last 30 s speak for a request; such a one is not convicted, and a gateway that learns of its quarantine says so, which ends it everywhere. New crashes without an answer count again.

--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -5,6 +5,7 @@
 
 #include <cornelspring/net.hpp>
 
+#include <array>
 #include <map>
 #include <unordered_map>
 
@@ -23,6 +24,28 @@
  */
 request_digest digest_of(http_request const& request);
 
+/**
+ * Remembers which requests backend servers have answered lately. It protects a query that many callers ask: when
+ * another one crashes the servers, it is among those that run there again and again, and would count as the cause.
+ */
+class recent_answers {
+public:
+    /** Notes an answer. @param request the request. @param now present time. */
+    void add(http_request const& request, time_point now);
+    /** @return whether a request was answered lately. @param request the request. @param now present time. */
+    bool contains(http_request const& request, time_point now) const;
+
+private:
+    /** A request that was answered. */
+    struct answered_request {
+        std::size_t key = 0; ///< Hash of what was asked.
+        time_point at;       ///< When it was answered last.
+    };
+    /** Requests kept; one that falls on the place of another takes it. */
+    static constexpr std::size_t places = 2048;
+    std::array<answered_request, places> m_answered; ///< By key.
+};
+
 /** What is believed of a request. */
 enum class request_standing {
     clear,       ///< Nothing speaks against it.
@@ -36,6 +59,7 @@
     int crashes = 0;                 ///< Backend servers that ended under it.
     int convictions = 0;             ///< Times that it was put into quarantine.
     milliseconds quarantine_left{0}; ///< Time that it stays there.
+    bool answered = false;           ///< A backend server answered it, and none has crashed under it since.
     bool operator==(crash_record const&) const = default;
 };
 
@@ -63,6 +87,7 @@
         request_standing standing = request_standing::clear; ///< What is believed of it now.
         int crashes = 0;                                     ///< Crashes seen by all gateways.
         std::string source;                                  ///< Gateway that told; empty: seen here.
+        bool to_tell = false;                                ///< What this VM tells has changed.
     };
     /** @param options settings. */
     explicit request_quarantine(quarantine_options options = {}) : m_options(options) {}
@@ -91,7 +116,8 @@
     void on_crashes(request_digest const& digest, int crashes, time_point now);
     /** Puts a request into quarantine. @param digest request. @param now present time. */
     void convict(request_digest const& digest, time_point now);
-    /** A backend server answered a request: it does not crash them. @param digest request. @param now present time. */
+    /** A backend server answered a request that is suspect or in quarantine, here or elsewhere: it does not crash them.
+     *  @param digest request. @param now present time. */
     void on_answered(request_digest const& digest, time_point now);
 
     /** @return what this VM tells the others. @param now present time. */
@@ -112,6 +138,9 @@
         time_point quarantined_until;    ///< End of the quarantine.
         time_point forget_at;            ///< Nothing was seen for so long.
         bool on_trial = false;           ///< This VM has sent it to a backend server.
+        bool answered = false;           ///< Seen here: a backend server answered it after crashes.
+        /** Forgets all that speaks against it. @return whether something seen here did. */
+        bool clear();
         /** @return crashes seen by all. */
         int crashes() const;
         /** @return what is believed of it. */
@@ -124,7 +153,7 @@
     /** Takes in the quarantine that a record tells of. */
     void extend_quarantine(known_request& request, crash_record const& record, time_point now) const;
     /** Reports what is believed of a request. */
-    void report(request_digest const& digest, std::string const& source, time_point now);
+    void report(request_digest const& digest, std::string const& source, bool to_tell, time_point now);
 
     quarantine_options m_options;                              ///< Settings.
     std::unordered_map<std::string, known_request> m_requests; ///< By digest.
--- a/src/dispatch/dispatcher_caution.cpp
+++ b/src/dispatch/dispatcher_caution.cpp
@@ -31,11 +31,17 @@
     summary.line = (message.method + " " + message.header("host") + message.path).substr(0, logged_line_length);
 }
 
-request_standing dispatcher::impl::look_up(request_state& request, time_point now) const
+request_standing dispatcher::impl::look_up(request_state& request, time_point now)
 {
     if (quarantine.empty()) return request_standing::clear;
-    auto const standing = quarantine.standing(digest_of(request.message), now);
-    if (standing != request_standing::clear) look_at(request);
+    auto const digest = digest_of(request.message);
+    auto const standing = quarantine.standing(digest, now);
+    if (standing == request_standing::clear) return standing;
+    if (answered.contains(request.message, now)) {
+        quarantine.on_answered(digest, now);
+        return request_standing::clear;
+    }
+    look_at(request);
     return standing;
 }
 
@@ -76,7 +82,8 @@
     ++request.summary.disconnects;
     if (request.survived) return true;
     look_at(request);
-    if (request.trials > 0 && quarantine.convicts(request.summary.digest, request.summary.disconnects)) {
+    bool const convicted = quarantine.convicts(request.summary.digest, request.summary.disconnects);
+    if (request.trials > 0 && convicted && !answered.contains(request.message, now)) {
         finish(request.key, failure_answer(request, false), "crashed_servers", now);
         return false;
     }
@@ -168,9 +175,13 @@
 {
     auto const& summary = request.summary;
     if (request.on_trial) quarantine.end_trial(summary.digest);
-    // Others may suspect by now what had begun before.
-    if (request.survived && !quarantine.empty()) quarantine.on_answered(digest_of(request.message), now);
-    if (request.survived || (summary.disconnects == 0 && !request.on_trial)) return;
+    if (request.survived) {
+        answered.add(request.message, now);
+        // Others may suspect by now what had begun before.
+        if (!quarantine.empty()) quarantine.on_answered(digest_of(request.message), now);
+    }
+    bool const nothing_seen = summary.disconnects == 0 && !request.on_trial;
+    if (request.survived || nothing_seen || answered.contains(request.message, now)) return;
     look_at(request);
     if (summary.disconnects > 0) quarantine.on_crashes(summary.digest, summary.disconnects, now);
     if (request.trials > 0 && quarantine.convicts(summary.digest, 0)) {
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -16,6 +16,7 @@
     dispatcher_options options;                                             ///< Settings.
     config_holder const& configs;                                           ///< Configuration in force.
     backend_registry& registry;                                             ///< Backend servers.
+    recent_answers answered;                                                ///< Requests that do not crash servers.
     request_quarantine& quarantine;                                         ///< Requests that crash them.
     dispatcher_hooks hooks;                                                 ///< Outside calls.
     std::mt19937_64 random;                                                 ///< Tie breaks and jitter.
@@ -91,7 +92,7 @@
     /** Notes the digest of a request, for the quarantine and the log. */
     static void look_at(request_state& request);
     /** @return what is believed of a request that arrives. */
-    request_standing look_up(request_state& request, time_point now) const;
+    request_standing look_up(request_state& request, time_point now);
     /** @return the refusal of a request in quarantine, with the time that it stays there. */
     http_response quarantine_refusal(request_state const& request, time_point now) const;
     /** A suspect begins: it goes to one backend server at a time. */
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -160,7 +160,7 @@
         if (name != vm.name) vm.quarantine.learn(name, records, m_todo.now());
     }
     vm.quarantine.on_change([this, &vm](request_quarantine::change const& change) {
-        if (change.source.empty()) tell_crash_records(vm);
+        if (change.to_tell) tell_crash_records(vm);
     });
     vm.configs.offer(make_config());
     int number = 0;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -222,7 +222,7 @@
 void gateway::impl::on_quarantine(request_quarantine::change const& change)
 {
     log.quarantine(change, quarantine.quarantine_left(change.digest, loop.now()));
-    if (!change.source.empty()) return; // Each gateway tells only what it has seen itself.
+    if (!change.to_tell) return; // Each gateway tells only what it has seen itself.
     tells_crash_records = true;
     if (std::exchange(crash_records_due, true)) return;
     loop.run_at(loop.now() + crash_records_gap, [this] {
--- a/src/quarantine/crash_records.cpp
+++ b/src/quarantine/crash_records.cpp
@@ -12,7 +12,8 @@
         list.push_back({{"digest", record.digest.value()},
                         {"crashes", record.crashes},
                         {"convictions", record.convictions},
-                        {"quarantine_left_ms", record.quarantine_left.count()}});
+                        {"quarantine_left_ms", record.quarantine_left.count()},
+                        {"answered", record.answered}});
     }
     return nlohmann::json{{"requests", std::move(list)}}.dump();
 }
@@ -25,7 +26,8 @@
         for (auto const& each : fields.at("requests")) {
             records.push_back({request_digest(each.at("digest").get<std::string>()), each.at("crashes").get<int>(),
                                each.at("convictions").get<int>(),
-                               milliseconds(each.at("quarantine_left_ms").get<std::int64_t>())});
+                               milliseconds(each.at("quarantine_left_ms").get<std::int64_t>()),
+                               each.at("answered").get<bool>()});
         }
         return records;
     } catch (nlohmann::json::exception const& failure) {
--- a/src/quarantine/request_digest.cpp
+++ b/src/quarantine/request_digest.cpp
@@ -11,20 +11,30 @@
 /** Bytes of a digest that are kept: enough that no two requests share one by chance. */
 constexpr std::size_t digest_bytes = 16;
 
+/** An answer speaks for a request so long: servers may have changed since. */
+constexpr milliseconds lately{30000};
+
 /** Appends @p part with its length, so that no two lists of parts make up the same text. */
 void append_part(std::string& text, std::string_view part)
 {
     text.append(std::to_string(part.size())).append(":").append(part);
 }
 
-} // namespace
-
-request_digest digest_of(http_request const& request)
+/** @return what backend servers are asked, as one text. */
+std::string question_of(http_request const& request)
 {
     std::string text;
     for (auto const& part :
          {request.method, request.header("host"), request.path, request.body, request.header("authorization")})
         append_part(text, part);
+    return text;
+}
+
+} // namespace
+
+request_digest digest_of(http_request const& request)
+{
+    auto const text = question_of(request);
     std::array<unsigned char, EVP_MAX_MD_SIZE> hash{};
     unsigned int size = 0;
     EVP_Digest(text.data(), text.size(), hash.data(), &size, EVP_sha256(), nullptr);
@@ -35,4 +45,17 @@
     return request_digest(std::move(hex));
 }
 
+void recent_answers::add(http_request const& request, time_point now)
+{
+    auto const key = std::hash<std::string>()(question_of(request));
+    m_answered[key % places] = {key, now};
+}
+
+bool recent_answers::contains(http_request const& request, time_point now) const
+{
+    auto const key = std::hash<std::string>()(question_of(request));
+    auto const& found = m_answered[key % places];
+    return found.key == key && now < found.at + lately;
+}
+
 } // namespace cornelspring
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -23,6 +23,16 @@
     return sum;
 }
 
+bool request_quarantine::known_request::clear()
+{
+    bool const seen_here = own_crashes > 0;
+    own_crashes = convictions = 0;
+    convicted_here = false;
+    quarantined_until = {};
+    told.clear();
+    return seen_here;
+}
+
 request_standing request_quarantine::known_request::standing(time_point now) const
 {
     if (now < quarantined_until) return request_standing::quarantined;
@@ -70,8 +80,10 @@
 
 void request_quarantine::on_crashes(request_digest const& digest, int crashes, time_point now)
 {
-    remember(digest, now).own_crashes += crashes;
-    report(digest, {}, now);
+    auto& request = remember(digest, now);
+    request.own_crashes += crashes;
+    request.answered = false;
+    report(digest, {}, true, now);
 }
 
 void request_quarantine::convict(request_digest const& digest, time_point now)
@@ -83,20 +95,26 @@
     ++request.convictions;
     request.convicted_here = true;
     request.quarantined_until = std::max(request.quarantined_until, now + std::min(length, m_options.longest));
-    report(digest, {}, now);
+    report(digest, {}, true, now);
 }
 
 void request_quarantine::on_answered(request_digest const& digest, time_point now)
 {
-    if (m_requests.erase(digest.value()) > 0) report(digest, {}, now);
+    auto const found = m_requests.find(digest.value());
+    if (found == m_requests.end() || found->second.standing(now) == request_standing::clear) return;
+    found->second.clear();
+    found->second.answered = true;
+    found->second.forget_at = now + m_options.longest;
+    report(digest, {}, true, now);
 }
 
 std::vector<crash_record> request_quarantine::told(time_point now) const
 {
     std::vector<crash_record> records;
     for (auto const& [digest, request] : m_requests) {
-        if (request.own_crashes == 0 || now >= request.forget_at) continue;
-        crash_record record{request_digest(digest), request.own_crashes, 0, milliseconds(0)};
+        bool const seen_here = request.own_crashes > 0 || request.answered;
+        if (!seen_here || now >= request.forget_at) continue;
+        crash_record record{request_digest(digest), request.own_crashes, 0, milliseconds(0), request.answered};
         if (request.convicted_here) {
             record.convictions = request.convictions;
             record.quarantine_left = quarantine_left(record.digest, now);
@@ -116,10 +134,13 @@
     }
     for (auto const& [digest, record] : next) {
         auto const before = standing(record.digest, now);
+        if (record.answered && before == request_standing::clear) continue;
         auto& request = remember(record.digest, now);
         request.told[source] = record.crashes;
         extend_quarantine(request, record, now);
-        if (request.standing(now) != before) report(record.digest, source, now);
+        bool const speaks_for = record.answered && request.clear();
+        bool const speaks_against = record.quarantine_left > milliseconds(0) && std::exchange(request.answered, false);
+        if (request.standing(now) != before) report(record.digest, source, speaks_for || speaks_against, now);
     }
 }
 
@@ -127,11 +148,11 @@
 {
     for (auto const& record : records) {
         auto& request = remember(record.digest, now);
-        if (request.own_crashes > 0) continue;
+        if (request.own_crashes > 0 || record.answered) continue;
         request.own_crashes = record.crashes;
         request.convicted_here = record.convictions > 0;
         extend_quarantine(request, record, now);
-        report(record.digest, {}, now);
+        report(record.digest, {}, true, now);
     }
 }
 
@@ -166,12 +187,12 @@
     m_requests.erase(oldest);
 }
 
-void request_quarantine::report(request_digest const& digest, std::string const& source, time_point now)
+void request_quarantine::report(request_digest const& digest, std::string const& source, bool to_tell, time_point now)
 {
     if (!m_on_change) return;
     auto const found = m_requests.find(digest.value());
     int const crashes = found == m_requests.end() ? 0 : found->second.crashes();
-    m_on_change({digest, standing(digest, now), crashes, source});
+    m_on_change({digest, standing(digest, now), crashes, source, to_tell});
 }
 
 } // namespace cornelspring
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,8 @@
 REFUSALS = {503, 429, 408, 421}  # Each promises that the request has not run and will not run.
 DRAIN_S = 3.0  # A draining backend server gets no new work after this.
 CONFIG_S = 3.0  # A configuration is in force everywhere after this.
+KNOWN_S = 5.0  # A request that has crashed three servers is known to all gateways after this,
+REPEATS = 3  # and reaches servers in so many repetitions at most from then on.
 SETTLE_S = 12.0  # After the last fault everything works again within this.
 
 
@@ -285,7 +287,7 @@
         number = self.random.randint(1, self.gateway_count)
         name, how = f"gw-{number}", self.random.choice(["term", "kill", "pause", "hup"])
         process = self.processes[name]
-        if self.disturbed.get(name, 0) > time.monotonic():
+        if self.disturbed.get(name, 0) > time.monotonic() or name in self.restarting:
             return
         if how == "hup":
             process.send_signal(signal.SIGHUP)
@@ -298,6 +300,7 @@
         else:
             self.disturb(name, 8 if how == "kill" else 0.01)
             process.send_signal(signal.SIGKILL if how == "kill" else signal.SIGTERM)
+            self.restarting.add(name)
             while process.poll() is None:
                 await asyncio.sleep(0.02)
             if how == "term" and process.returncode != 0:
@@ -305,6 +308,7 @@
             self.disturb(name, 3)  # Callers still hold its address.
             await asyncio.sleep(self.random.uniform(0.05, 1))
             self.start_gateway(number)
+            self.restarting.discard(name)
 
     async def fault_backend(self):
         name = self.random.choice(list(self.entries))
@@ -341,11 +345,51 @@
         await self.store("put", {"key": f"servers/{name}", "value": self.entries[name]})
         del self.drained[name]
 
+    async def crash_with_query(self):
+        """One query crashes each server that runs it, and comes again at any gateway."""
+        if self.crash_query_runs:
+            return
+        self.crash_query_runs = True
+        path, for_s = f"/q/crash-{self.random.random()}", 12
+        self.disturb("backends", for_s + 3)
+        await call(self.backends_port, "POST", "/behave", {"crash_path": path, "down_ms": 400})
+        asked, until = {}, time.monotonic() + for_s
+        while time.monotonic() < until:
+            request_id, gateway = f"crash-{self.random.random()}", self.random.randint(1, self.gateway_count)
+            request = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\nDeadline: 800\r\n\r\n"
+            asked[request_id] = (time.monotonic(), gateway)
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(self.address(gateway), 18104), 1)
+                await asyncio.wait_for(exchange(reader, writer, request.encode()), 2)
+                writer.close()
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass  # The gateway is stopped or paused; another one is next.
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        await call(self.backends_port, "POST", "/behave", {"crash_path": ""})
+        await self.check_crash_query(path, asked)
+        self.crash_query_runs = False
+
+    async def check_crash_query(self, path, asked):
+        _, journal = await call(self.backends_port, "POST", "/journal", {})
+        runs = [e for e in journal if e["line"] == f"GET {path}" and e["ran"]]
+        if len(runs) < 3:
+            return
+        known = sorted(e["at_ms"] for e in runs)[2] / 1000 + KNOWN_S
+        repeats = {e["id"] for e in journal if e["line"] == f"GET {path}"}
+        late = [i for i in repeats if asked[i][0] > known and self.in_touch(*asked[i])]
+        self.stats["repeats of a crashing query"] += len(late)
+        if len(late) > REPEATS:
+            self.violation(f"{path} reached servers in {len(late)} repetitions after {known - self.begun:.3f}: {late}")
+
+    def in_touch(self, at, gateway):
+        """Whether neither the store nor the gateway had a fault in the time in which it is told."""
+        return all(self.disturbed.get(name, 0) < at - KNOWN_S for name in ("store", f"gw-{gateway}"))
+
     async def faults(self):
         """Starts faults at random times; they overlap."""
         kinds = [lambda: self.fault_proxy("store"), lambda: self.fault_proxy(self.random.choice(list(self.entries))),
                  self.fault_gateway, self.fault_gateway, self.fault_backend, self.fault_backend, self.fault_store,
-                 self.change_config, self.drain_backend]
+                 self.change_config, self.drain_backend, self.crash_with_query]
         running, until = [], time.monotonic() + self.seconds
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(1.2))
@@ -391,7 +435,7 @@
                 self.violation(f"{name} ended by itself with {process.returncode}")
 
     async def run(self):
-        self.stop_callers = False
+        self.stop_callers, self.crash_query_runs, self.restarting = False, False, set()
         try:
             await self.begin()
             callers = [asyncio.create_task(self.caller(number)) for number in range(12)]
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -114,8 +114,10 @@
                 m_domains[body["rename"]] = m_domains[server->id()];
                 server->rename(body["rename"]);
             }
-            server->behave({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1),
-                            body.value("crash_path", ""), body.value("down_ms", 1000)});
+            if (body.contains("crash_path"))
+                server->crash_on(body["crash_path"], milliseconds(body.value("down_ms", 1000)));
+            if (body.contains("mode") || body.contains("work_ms"))
+                server->behave({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1)});
         }
     }
 
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -25,11 +25,17 @@
     m_port = m_listener->port();
 }
 
+void shard_server::crash_on(std::string path, milliseconds down)
+{
+    m_crash_path = std::move(path);
+    m_down = down;
+}
+
 void shard_server::crash()
 {
     if (!m_listener) return;
     m_connections.clear();
-    m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.down_ms), [this] { listen(m_port); });
+    m_loop.run_at(m_loop.now() + m_down, [this] { listen(m_port); });
     m_listener.reset();
 }
 
@@ -88,7 +94,7 @@
         stream.send(serialize(refusal, false));
         return;
     }
-    if (!m_behaviour.crash_path.empty() && request.path == m_behaviour.crash_path) {
+    if (!m_crash_path.empty() && request.path == m_crash_path) {
         m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms), [this] { crash(); });
         return;
     }
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -15,10 +15,6 @@
     std::string mode = "ok";
     int work_ms = 5; ///< Time a request takes.
     int times = -1;  ///< Requests it applies to; -1: all.
-    /** A request for this path crashes the backend server that runs it, whatever the mode: all its connections close,
-     *  and it refuses new ones until it is back. Empty: none does. */
-    std::string crash_path;
-    int down_ms = 1000; ///< Time until it is back.
 };
 
 /** A request that reached a backend server. */
@@ -45,6 +41,9 @@
     std::string const& service() const { return m_service; }
     /** Sets what it does. */
     void behave(shard_behaviour behaviour) { m_behaviour = std::move(behaviour); }
+    /** From now on a request for @p path crashes it once it runs, whatever it does with others: all its connections
+     *  close, and it refuses new ones for @p down. */
+    void crash_on(std::string path, milliseconds down);
     /** Changes its id, as when another backend server gets the address. */
     void rename(std::string id) { m_id = std::move(id); }
     /** @return the records it holds. @param request_id request. */
@@ -72,6 +71,8 @@
     std::string m_service;                                       ///< Service.
     std::vector<journal_entry>& m_journal;                       ///< What arrived.
     shard_behaviour m_behaviour;                                 ///< What it does.
+    std::string m_crash_path;                                    ///< What crashes it; empty: nothing.
+    milliseconds m_down{0};                                      ///< Time until it is back after a crash.
     std::unordered_map<std::uint64_t, connection> m_connections; ///< By number.
     std::uint64_t m_last = 0;                                    ///< Last number.
     std::uint16_t m_port = 0;                                    ///< Bound port.
--- a/tests/test_caution.cpp
+++ b/tests/test_caution.cpp
@@ -176,3 +176,43 @@
     CHECK(fleet.sent.empty());
     CHECK(fleet.finished.back().reason == std::string("quarantined"));
 }
+
+/*
+ * What callers saw: a query that all of them ask was refused for a minute at every gateway. Another query crashed the
+ * servers meanwhile, and the common one ran on them, lost two, and lost the one that it was tried at: 1,292 of 1,737
+ * queries of a soak run were refused (seed 301, 14 s).
+ * Cause: what speaks against a request was kept, what speaks for it was not.
+ */
+TEST_CASE("caution: a query that is answered again and again is not taken for one that crashes servers")
+{
+    dispatcher_fixture fleet;
+    fleet.start("/gather/common", "id1");
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet.respond(i, 200, std::string(16, 'a'));
+    auto const unlucky = fleet.start("/gather/common", "id2");
+    crash_all(fleet, unlucky, 4);
+    CHECK(fleet.answer(unlucky).status == 502);
+
+    SUBCASE("here") {}
+    SUBCASE("when another gateway says so")
+    {
+        http_request message;
+        message.path = "/gather/common";
+        message.headers = {{"host", "h.example"}};
+        fleet.quarantine.learn("gw", {{digest_of(message), 3, 1, milliseconds(30000)}}, fleet.now);
+        fleet.start("/gather/common", "id3");
+        // The others learn that it was answered.
+        REQUIRE(fleet.quarantine.told(fleet.now).size() == 1);
+        CHECK(fleet.quarantine.told(fleet.now)[0].answered);
+    }
+    auto const before = fleet.sent.size();
+    auto const next = fleet.start("/gather/common", "id4");
+    CHECK(fleet.sent.size() == before + 4);
+    CHECK_FALSE(fleet.answered(next));
+    // Servers may change: what was answered long ago says nothing.
+    fleet.advance(40s);
+    auto const later = fleet.sent.size();
+    auto const changed = fleet.start("/gather/common", "id5");
+    crash_all(fleet, changed, later);
+    CHECK(fleet.finished.back().reason == std::string("crashed_servers"));
+}
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -123,3 +123,25 @@
     CHECK_THROWS_AS(decode_crash_records("{}"), error);
     CHECK_THROWS_AS(decode_crash_records(R"({"requests":[{"digest":1}]})"), error);
 }
+
+TEST_CASE("quarantine: an answer at one gateway ends it at all of them")
+{
+    request_quarantine here;
+    request_quarantine there;
+    here.on_crashes(deadly, 3, begin);
+    here.convict(deadly, begin);
+    there.learn("here", here.told(begin), begin);
+    there.on_answered(deadly, begin);
+    int told = 0;
+    here.on_change([&told](request_quarantine::change const& change) { told += change.to_tell ? 1 : 0; });
+    here.learn("there", decode_crash_records(encode_crash_records(there.told(begin))), begin);
+    CHECK(here.standing(deadly, begin) == request_standing::clear);
+    CHECK(here.told(begin).empty());
+    CHECK(told == 1);
+    // New crashes count again.
+    here.on_crashes(deadly, 3, begin);
+    here.convict(deadly, begin);
+    there.learn("here", here.told(begin), begin);
+    CHECK(there.standing(deadly, begin) == request_standing::quarantined);
+    CHECK(there.told(begin).empty());
+}
