--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -29,11 +29,9 @@
 
 /**
  * @return the share of queries that can be answered, as far as their slowest shards decide it. It answers windows in
- * which a dozen of 87 shards are full or gone and a query needs 83: half of the shards answer at once, so that
- * admission by their wait lets all queries in, and those that lack five shards have taken places of the others in vain.
- * Callers that can't be served are told at once, truly not run and when to come back. Such seconds emulated,
- * 48 seeds: of 747 queries 89 end failed in place of 126, 36 are refused in place of 5, and 623 served in place of 615;
- * what their callers get of its value is the same.
+ * which more shards are full or gone than a query can spare, though most are well: half of the shards answer at once,
+ * so that admission by their wait lets all queries in, and those that end failed have taken places of the others in
+ * vain. Callers that can't be served are told at once, truly not run and when to come back.
  * @param answered_shares how often each shard answered lately. @param needed shards that a success needs.
  */
 double coverable_share(std::vector<double> answered_shares, std::size_t needed);
@@ -44,8 +42,7 @@
  * their queues and all are late. The share falls with the wait that is measured: the time until half of a query's
  * shards have answered, against what is usual and what its goal leaves. A few slow or dead backend servers do not show
  * in the half that answers first. A share works at any number of VMs, where a bound on each VM's open queries cannot
- * go below one: seven VMs with four each already queue for 200 ms. Compared with such a bound, 18 seconds of 2.2 times
- * the load on seven VMs: 0.57 of the value earned, 0.47 with the bound; 2,106 queries in time, 1,438 with the bound.
+ * go below one: seven VMs with four each already queue for longer than urgent callers have.
  */
 class admission_control {
 public:
@@ -173,12 +170,10 @@
     milliseconds hedge_min{5};     ///< Shortest hedge delay: below it, two answers are the rule.
     double hedge_goal_share = 0.4; ///< Longest hedge delay, as a share of the route's goal.
     /** An answer leaves so long before its goal, besides the caller's time that has gone and the time on the network,
-     * to arrive in time: the process waits for its turn on a quarter of a core before it reads and before it writes.
-     * With callers 3 ms away, 7 and 11 ms earn the same (0.665, 0.664 of the value, five days of trouble each). */
+     * to arrive in time: the process waits for its turn on a quarter of a core before it reads and before it writes. */
     milliseconds answer_margin{11};
     /** The same as a share of the goal, whichever is more: the longer the goal, the fewer shards still come in its last
-     *  milliseconds. With 11 ms of 400, 28 of 1,432 answers came late, with 20 ms 22, with 24 ms 9
-     *  (a day of 195 VMs, one run each). */
+     *  milliseconds. */
     double answer_margin_share = 0.05;
     bool caller_time = true;   ///< Answers leave earlier by the caller's time that has gone and that on the network.
     milliseconds observe{300}; ///< A hedged attempt is watched so long, to learn when its server recovers.
--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -99,8 +99,8 @@
 
     /**
      * Size of a page, in bytes. A VM that returns after an outage is some thousand changes behind. With all of them in
-     * one answer, VMs with an eighth of a core and 14 Mbit/s gave up waiting each 1.9 s, began anew, and served an old
-     * configuration for 9 s more; a page takes 30 ms on that link and shows that its sender lives.
+     * one answer a small VM on a small link gives up waiting, begins anew, and goes on with an old configuration; a
+     * page arrives within the patience of its reader and shows that its sender lives.
      */
     static constexpr std::size_t page_bytes = 48 * 1024;
 
--- a/src/dispatch/admission_control.cpp
+++ b/src/dispatch/admission_control.cpp
@@ -15,23 +15,21 @@
 constexpr double free_strain = 0.3;
 /** Strain at which next to none is let in. */
 constexpr double full_strain = 0.9;
-/** Strain above which a second attempt at a slow shard only adds to the queue that makes it slow. With 0.16 calm days
- * lost 0.003 of the value (4 seeds each), for next to nothing more under load. */
+/** Strain above which a second attempt at a slow shard only adds to the queue that makes it slow; well
+ * above what pauses cause on calm days, when second attempts pay. */
 constexpr double congested_strain = 0.25;
 /** Least share let in: without answers, the wait would never be seen to end. */
 constexpr double least_share = 0.05;
 /** Without samples the wait is taken to halve in this time at least, as the queues empty, */
 constexpr double shortest_half_life_ms = 300;
-/** and in the time of so many queries: a VM that sees few must not forget the queue between two of them. Emulated, 70
- * VMs, 2.5 times the load: 0.13 of the value with 1, 0.26 with 4, 0.37 with 8. */
+/** and in the time of so many queries: a VM that sees few must not forget the queue between two of them. */
 constexpr double half_life_queries = 8;
 /** Weight of a new gap between queries in the average gap. */
 constexpr double gap_weight = 0.1;
 /** Longest gap that counts, so that an idle night is forgotten within some queries. */
 constexpr double longest_gap_ms = 1000;
 /** Waits are averaged over about one goal, so that one slow query refuses nobody; a single one after a pause does not
- * decide alone. Emulated, 70 VMs with few queries each, 2.5 times the load: 0.09 of the value with a weight of at most
- * 0.7, 0.23 with 0.3. */
+ * decide alone, which matters most at a VM that sees few queries. */
 constexpr sample_weight wait_weight{milliseconds(300), 0.1, 0.3};
 /** Part of the goal that the usual wait may take at most; more than that is a queue that has always been there. */
 constexpr double most_usual_share = 0.35;
@@ -41,9 +39,8 @@
 constexpr double lower_rank_power = 2;
 /**
  * Power of the share that returning callers get. Each of them takes the place of one that is still in time, so that
- * under lasting overload letting them in first makes everybody late: emulated, with 2.5 times the load, 0.34 of the
- * value is earned with power 1, 0.37 with 2 and 0.46 with 8. With 8
- * (and a free strain of 0.22), 0.9 % of the callers of a heavy day were refused for good, where 0.6 % are with 2.
+ * under lasting overload letting them in first makes everybody late. A higher power refuses too many of them for good
+ * on days that are heavy but can be carried.
  * When the share is near one nearly all of them are let in.
  */
 constexpr double returning_power = 2;
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -10,8 +10,7 @@
 
 /**
  * Seconds a caller waits at least before it asks a VM again that knows no configuration yet. A process that starts
- * knows it after 45 to 95 ms. With 0.5 s, callers with 800 ms and one try left came back too late or not at all: 10
- * requests after a power cut of all VMs, of 150 that failed on that day.
+ * knows it within that time, and callers with one try left and less than a second must not come back too late for it.
  */
 constexpr double starting_retry_after_s = 0.1;
 
@@ -21,8 +20,8 @@
 
 /** Window of the times that callers of a route still wait; it answers from the first one on. */
 constexpr time_window::sizes deadline_window{256, 1, 16};
-/** Quantile of these that counts as the time that callers wait at first. Of the queries seen, 41 % and more had all of
- *  it left; fewer than one in twenty that wait longer than the rest do not count. */
+/** Quantile of these that counts as the time that callers wait at first. Most requests
+ *  have all of it left; fewer than one in twenty that wait longer than the rest do not count. */
 constexpr double full_deadline_quantile = 0.95;
 /** A caller has been here before when more than this share of its time has gone. */
 constexpr double returning_share = 0.03;
@@ -109,7 +108,7 @@
 /**
  * What the request may have waited unread is taken off its deadline, which backend servers are told, and not off its
  * goal: it is a bound, and a long one on a small VM in the middle of another query's work. Answers that left so much
- * earlier lacked shards: 0.890 of the value in place of 0.929 on a calm day with 90 shards.
+ * earlier would lack shards for nothing.
  */
 bool dispatcher::impl::set_deadline(request_state& request, request_timing timing)
 {
@@ -135,11 +134,9 @@
 
 /**
  * Callers of one route wait equally long, and a request says how long its caller still waits. What is missing to the
- * usual longest time has gone: the caller looked up an address (14 ms when it is 3 ms away), connected, or tried
- * before. It counts for the goal too. Of 4,167 queries of a day, 513 came late with one margin of 15 ms for all, and
- * answers that left at it all came late when the caller had looked up an address. With what has gone taken off: 0.664
- * of the value in place of 0.643, five days of trouble each. A few callers that wait longer than the rest change
- * nothing.
+ * usual longest time has gone: the caller looked up an address which takes several round trips, connected, or tried
+ * before. It counts for the goal too: with one margin for all, the answers to callers that had looked up an address
+ * come late. A few callers that wait longer than the rest change nothing.
  */
 milliseconds dispatcher::impl::full_deadline(request_state const& request, milliseconds asked)
 {
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -162,8 +162,7 @@
 
 /**
  * While queries queue, a second attempt makes others late; it is sent only when the other backend server is much
- * faster, so that it helps where one is slow, and not where all are. Emulated, 12 seeds, without any while queries
- * queue: 0.951 to 0.925 of the value with slow backend servers.
+ * faster, so that it helps where one is slow, and not where all are.
  */
 bool dispatcher::impl::hedge_gains(request_state const& request, shard_state const& shard, selection const& other,
                                    time_point now) const
@@ -176,8 +175,8 @@
 }
 
 /**
- * A process that is behind has answers that it has not read yet, and timers come first. On a VM with an eighth of a
- * core every shard of a query was asked twice so (180 attempts for 90 shards), which put it further behind.
+ * A process that is behind has answers that it has not read yet, and timers come first. A small VM
+ * would ask every shard of a query twice so, which puts it further behind.
  */
 bool dispatcher::impl::postpone_hedge(shard_state& shard, time_point now)
 {
--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -21,8 +21,8 @@
 /** Most doublings of that pause: one that stays dark is asked each 12 s. */
 constexpr int most_doublings = 2;
 
-/** Heads of failure domains that read the store: two, so that the loss of one VM is not felt. With one in each of six
- *  failure domains, calls to the store cost 0.05 to 0.09 of a day's value at 74 to 89 VMs. */
+/** Heads of failure domains that read the store: two, so that the loss of one VM is not felt. With one in each
+ *  failure domain the calls to the store would grow with their number. */
 constexpr std::size_t most_readers = 2;
 
 /** Heads of failure domains. */
--- a/src/gateway/address_answers.cpp
+++ b/src/gateway/address_answers.cpp
@@ -13,16 +13,15 @@
 /** Fewer addresses than this do not make up an answer: one of them may just have failed. */
 constexpr std::size_t fewest_addresses = 2;
 
-/** A VM with less than this share of the processor of the largest one is small: a query over 129 shards costs some 10
- * ms of a core, which is 80 ms on an eighth of one, of the 120 ms that urgent callers have. */
+/** A VM with less than this share of the processor of the largest one is small: at a hundred shards a query
+ * takes it most of the time that urgent callers have. */
 constexpr double small_share = 0.3;
 /** Small VMs are left out as long as the others have this share of the processors: the load is carried all the same. */
 constexpr double enough_share = 0.75;
 
 /**
- * With 18 VMs of half a core and 18 of an eighth, callers are sent to the first only: of 2,351 and 1,920 queries over
- * shards, 149 and 107 come late in place of 196 and 153 (two days of 195 VMs, one run each), and each VM that gets
- * queries learns sooner which backend servers are slow.
+ * Fewer queries come late so, and each VM that gets queries sees more of them and learns sooner which backend servers
+ * are slow.
  * @return the active members without the small ones, if the others are enough: in each failure domain as well.
  */
 std::set<std::string> without_small(member_map const& members, std::set<std::string> const& active)
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -59,8 +59,8 @@
 }
 
 /**
- * The backend server is told the time that is left when the request arrives, not when it is written: a VM whose link
- * was full told 1,956 ms where 1,241 were left, and backend servers worked for callers that had gone.
+ * The backend server is told the time that is left when the request arrives, not when it is written: on a
+ * full link these are far apart, and backend servers would work for callers that have gone.
  */
 std::string backend_pool::impl::write_request(attempt_order const& order, time_point now) const
 {
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -123,7 +123,7 @@
     /** Takes in what a gateway tells of requests that crash backend servers. */
     void on_crash_records(store_item const& item);
     /** Notes a change, for the log. */
-    void note(std::string name, fate what, std::int64_t revision);
+    void note(std::string name, change_kind kind, std::int64_t revision);
     /** Logs what was noted since the last time. */
     void log_changes(std::int64_t revision);
     /** Drops entries that did not return after a store outage. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -59,16 +59,16 @@
     line.append(",\"denied\":\"").append(summary.denied).append("\"");
 }
 
-/** @return the name of @p what in a log line. */
-char const* to_string(fate what)
-{
-    switch (what) {
-    case fate::ready: return "ready";
-    case fate::draining: return "draining";
-    case fate::lapsed: return "lapsed";
-    case fate::gone: return "gone";
-    case fate::joined: return "joined";
-    case fate::left: return "left";
+/** @return the name of @p kind in a log line. */
+char const* to_string(change_kind kind)
+{
+    switch (kind) {
+    case change_kind::ready: return "ready";
+    case change_kind::draining: return "draining";
+    case change_kind::lapsed: return "lapsed";
+    case change_kind::gone: return "gone";
+    case change_kind::joined: return "joined";
+    case change_kind::left: return "left";
     }
     return "unknown";
 }
@@ -76,10 +76,10 @@
 /** @return the line that names one change. */
 nlohmann::json line_of(learned_change const& change)
 {
-    auto const* what = to_string(change.what);
-    if (change.what == fate::joined || change.what == fate::left)
-        return {{"event", "member"}, {"member", change.name}, {"change", what}, {"revision", change.revision}};
-    return {{"event", "backend"}, {"backend", change.name}, {"state", what}, {"revision", change.revision}};
+    auto const* kind = to_string(change.kind);
+    if (change.kind == change_kind::joined || change.kind == change_kind::left)
+        return {{"event", "member"}, {"member", change.name}, {"change", kind}, {"revision", change.revision}};
+    return {{"event", "backend"}, {"backend", change.name}, {"state", kind}, {"revision", change.revision}};
 }
 
 } // namespace
@@ -101,8 +101,8 @@
 void gateway_log::on_request(request_summary const& summary, milliseconds state_age)
 {
     if (!allowed(m_requests, request_lines)) return;
-    // The only frequent line, so it is put together by hand: through a JSON object it cost 6 % of the processor time
-    // of a calm day (2.98 s without log lines, 3.16 s with them, two runs each).
+    // The only frequent line, so it is put together by hand: a JSON object costs several times as much, a
+    // noticeable part of the processor time of a request.
     std::string line = "{\"event\":\"request\",\"id\":";
     append_quoted(line, summary.caller_id);
     line += ",\"route\":";
@@ -175,10 +175,11 @@
 {
     if (changes.empty()) return;
     nlohmann::json line{{"event", "learned"}, {"revision", revision}, {"state_age_ms", state_age.count()}};
-    for (auto const what : {fate::ready, fate::draining, fate::lapsed, fate::gone, fate::joined, fate::left})
-        line[to_string(what)] = 0;
+    for (auto const kind : {change_kind::ready, change_kind::draining, change_kind::lapsed, change_kind::gone,
+                            change_kind::joined, change_kind::left})
+        line[to_string(kind)] = 0;
     for (auto const& change : changes) {
-        auto& count = line[to_string(change.what)];
+        auto& count = line[to_string(change.kind)];
         count = count.get<int>() + 1;
         if (named) write(line_of(change));
     }
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -6,7 +6,7 @@
 namespace cornelspring {
 
 /** What becomes of a backend server or a gateway in the store. */
-enum class fate {
+enum class change_kind {
     ready,    ///< A backend server that is new, or back.
     draining, ///< One that leaves.
     lapsed,   ///< One without an entry since an outage of the store.
@@ -17,9 +17,9 @@
 
 /** A change of what this VM believes, learned from a source. */
 struct learned_change {
-    std::string name;          ///< Id of the backend server, or store key of the gateway.
-    fate what = fate::ready;   ///< What became of it.
-    std::int64_t revision = 0; ///< Store revision that says so.
+    std::string name;                      ///< Id of the backend server, or store key of the gateway.
+    change_kind kind = change_kind::ready; ///< What became of it.
+    std::int64_t revision = 0;             ///< Store revision that says so.
 };
 
 /** Writes the gateway's log lines. Good requests are sampled under load, so that the volume stays bounded. */
@@ -44,8 +44,8 @@
     void config(config_version version, std::int64_t revision, bool applied);
     /**
      * The belief about backend servers and gateways changed. Every gateway learns the same, so that those that watch
-     * the store name each change, and all others, and a full read, only say how many and up to which revision: with a
-     * line for each entry at each of 195 VMs, 228,000 lines were written in 26 s.
+     * the store name each change, and all others, and a full read, only say how many and up to which revision: a
+     * line for each entry at each VM would grow with the square of the fleet.
      * @param changes what changed; no line when it is empty. @param named whether each gets a line. @param revision
      * store revision up to which it is known. @param state_age age of the copy.
      */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -134,9 +134,9 @@
     log_changes(as_of);
 }
 
-void gateway::impl::note(std::string name, fate what, std::int64_t revision)
+void gateway::impl::note(std::string name, change_kind kind, std::int64_t revision)
 {
-    changes.push_back({std::move(name), what, revision});
+    changes.push_back({std::move(name), kind, revision});
 }
 
 void gateway::impl::log_changes(std::int64_t revision)
@@ -192,7 +192,7 @@
 void gateway::impl::remove_backend(backend_id const& id, std::int64_t revision)
 {
     if (!registry.remove(id, loop.now())) return;
-    note(id.value(), registry.find(id) ? fate::lapsed : fate::gone, revision);
+    note(id.value(), registry.find(id) ? change_kind::lapsed : change_kind::gone, revision);
 }
 
 void gateway::impl::on_backend(store_item const& item)
@@ -204,19 +204,19 @@
     }
     auto const entry = codec.parse_backend(id.value(), item.value);
     if (!registry.apply(entry, loop.now())) return;
-    note(id.value(), entry.draining ? fate::draining : fate::ready, item.revision);
+    note(id.value(), entry.draining ? change_kind::draining : change_kind::ready, item.revision);
 }
 
 void gateway::impl::on_member(store_item const& item)
 {
     if (item.removed) {
         members.erase(item.key);
-        note(item.key, fate::left, item.revision);
+        note(item.key, change_kind::left, item.revision);
         if (item.key == member_key()) registered->on_removed();
         return;
     }
     bool const is_new = members.insert_or_assign(item.key, decode_member(item.value)).second;
-    if (is_new) note(item.key, fate::joined, item.revision);
+    if (is_new) note(item.key, change_kind::joined, item.revision);
 }
 
 void gateway::impl::on_quarantine(request_quarantine::change const& change)
@@ -246,7 +246,7 @@
 void gateway::impl::expire_lapsed()
 {
     for (auto const& id : registry.expire(loop.now()))
-        note(id.value(), fate::gone, mirror.as_of());
+        note(id.value(), change_kind::gone, mirror.as_of());
     log_changes(mirror.as_of());
 }
 
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -10,8 +10,8 @@
 constexpr milliseconds call_limit{1000};
 /** Wait after a failed call; doubles up to the longest. */
 constexpr milliseconds retry_wait{400};
-/** Longest wait after a failed call: a VM is named to callers again within it when the store is back. A third of 89 VMs
- *  that the store turns away for 9 s make 220 calls with it, 700 without. */
+/** Longest wait after a failed call: a VM is named to callers again within it when the store is back. Without it,
+ *  the VMs that the store turns away would call it several times as often. */
 constexpr milliseconds longest_retry_wait{1600};
 /** Renewals in each time to live: one may be lost. */
 constexpr int renewals_per_ttl = 3;
