--- a/src/dispatch/admission_control.cpp
+++ b/src/dispatch/admission_control.cpp
@@ -7,10 +7,6 @@
 namespace cornelspring {
 namespace {
 
-// The figures below come from random settings of the emulator over twelve loads (1 to 3 times the usual, bursts,
-// callers that repeat, slow and dark backend servers, a restart), and of the best of them those that refused fewest on
-// days of the whole system without a lasting load.
-
 /** Strain up to which every query is let in: below it, ordinary load and pauses refuse nobody. */
 constexpr double free_strain = 0.3;
 /** Strain at which next to none is let in. */
