Review: a held shard is sent in one place; a comment reads right

Cause: the choice between a first and a further attempt stood twice, as a statement of two branches in one expression. Change: send_shard(); no decision changes.

--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -134,7 +134,7 @@
 
 /**
  * Callers of one route wait equally long, and a request says how long its caller still waits. What is missing to the
- * usual longest time has gone: the caller looked up an address which takes several round trips, connected, or tried
+ * usual longest time has gone: the caller looked up an address, which takes several round trips, connected, or tried
  * before. It counts for the goal too: with one margin for all, the answers to callers that had looked up an address
  * come late. A few callers that wait longer than the rest change nothing.
  */
--- a/src/dispatch/dispatcher_caution.cpp
+++ b/src/dispatch/dispatcher_caution.cpp
@@ -122,6 +122,15 @@
         release(id, false, now);
 }
 
+void dispatcher::impl::send_shard(request_state& request, std::size_t index, time_point now)
+{
+    if (request.shards[index].sends == 0) {
+        first_attempt(request, index, now);
+    } else {
+        retry(request, index, now);
+    }
+}
+
 void dispatcher::impl::next_cautious(request_state& request, time_point now)
 {
     auto const key = request.key.value();
@@ -136,7 +145,7 @@
         auto& shard = request.shards[index];
         if (!shard.held || !wanted(shard)) continue;
         shard.held = false;
-        shard.sends == 0 ? first_attempt(request, index, now) : retry(request, index, now);
+        send_shard(request, index, now);
     }
     if (!is_open()) return;
     rearm(request, now);
@@ -160,7 +169,7 @@
         bool const held = std::exchange(shard.held, false);
         if (!wanted(shard)) continue;
         if (!shard.open.empty()) plan_hedge(request, shard, attempts.at(shard.open.back().value()).target->where, now);
-        if (held) shard.sends == 0 ? first_attempt(request, i, now) : retry(request, i, now);
+        if (held) send_shard(request, i, now);
     }
     if (!open.contains(key)) return;
     rearm(request, now);
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -107,6 +107,8 @@
     void become_cautious(request_state& request);
     /** Gives up what runs of a cautious request, where it may be sent again. */
     void hold_all(request_state& request, time_point now);
+    /** Sends the first attempt of a shard that was held, or a further one. */
+    void send_shard(request_state& request, std::size_t index, time_point now);
     /** Sends the next attempt of a cautious request that has none under way. */
     void next_cautious(request_state& request, time_point now);
     /** A backend server gave an answer to use, so that the request crashes not all. @return whether shards are held. */
