--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -92,6 +92,7 @@
     std::string target_backend;  ///< Id of the backend server meant.
     std::string signature;       ///< A backend server's mark on its answer.
     std::string not_executed;    ///< Set by a backend server that did not run the request.
+    std::string warmup_left;     ///< How long a backend server stays cold, in milliseconds.
     std::string part_signatures; ///< Signatures of the shard answers in a merged answer.
     std::string missing_parts;   ///< Number of shards left out of a merged answer.
 };
@@ -151,6 +152,9 @@
     double wait_ms = 0;                ///< Wait for half of the shards that admission went by; 0: it was not asked.
     double admitted_share = 1;         ///< Share of such queries that it let in.
     double coverable_share = 1;        ///< Share that the shards which decide leave at most.
+    int no_home = 0;                   ///< Choices that failed as no server was left at home,
+    int evacuated = 0;                 ///< as those left were evacuated,
+    int cold = 0;                      ///< as those left were cold and had got enough.
 };
 
 /** Calls of the dispatcher to the outside. */
@@ -220,9 +224,10 @@
 class dispatcher {
 public:
     /** @param options settings. @param configs configuration in force. @param registry backend servers.
-     *  @param quarantine requests that crash them. @param hooks outside calls. @param seed random seed. */
+     *  @param places which of them a request may reach. @param quarantine requests that crash them. @param hooks
+     * outside calls. @param seed random seed. */
     dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-               request_quarantine& quarantine, dispatcher_hooks hooks, std::uint64_t seed);
+               place_rules const& places, request_quarantine& quarantine, dispatcher_hooks hooks, std::uint64_t seed);
     ~dispatcher();
     /** Takes in a whole request. @param key new key for it. @param message as received. @param timing its time before
      *  and after. @param caller who sent it. @param now present time. */
--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -36,8 +36,9 @@
 
 /** Translates the store's calls; one for each store that is spoken. */
 struct store_codec {
-    std::string config_key;     ///< Key of the operators' configuration.
-    std::string backend_prefix; ///< Prefix of backend entries; the rest of the key is the id.
+    std::string config_key;        ///< Key of the operators' configuration.
+    std::string backend_prefix;    ///< Prefix of backend entries; the rest of the key is the id.
+    std::string evacuation_prefix; ///< Prefix of evacuations; the rest of the key is the failure domain.
     std::function<http_request(std::string const& prefix, std::string const& after)> read; ///< Read a prefix.
     std::function<http_request(std::string const& prefix, std::int64_t after, milliseconds wait)>
         watch;                                                          ///< Wait for changes.
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -173,14 +173,24 @@
  * @return keys of the chosen ones.
  */
 std::set<std::string> choose_active(member_map const& members, std::size_t most);
+/** What a caller asks before it connects. */
+struct address_question {
+    std::string host;   ///< Host that it wants to ask.
+    region_name region; ///< Its region.
+    domain_name domain; ///< Its failure domain.
+};
+
 /**
- * Chooses the addresses for one caller: active gateways of its failure domain, else of its region, else all.
- * @param members live gateways. @param active keys of the active ones. @param region the caller's region.
- * @param domain its failure domain. @param random order of the answer.
+ * Chooses the addresses for one caller: active gateways of its failure domain, else of its region, else all. Where the
+ * host has homes, a single gateway of the caller's region is enough, and those elsewhere are of home regions as long
+ * as one lives there: what callers of such a host ask must not go through other regions.
+ * @param members live gateways. @param active keys of the active ones. @param asked the question. @param homes regions
+ * that may serve the host; empty: all. @param random order of the answer.
  * @return addresses, in random order.
  */
 std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
-                                       region_name const& region, domain_name const& domain, std::mt19937_64& random);
+                                       address_question const& asked, home_regions const& homes,
+                                       std::mt19937_64& random);
 
 /** Settings of a gateway process. */
 struct gateway_settings {
@@ -201,11 +211,12 @@
     milliseconds stop_limit{5500};           ///< A stop ends after this, whatever is open.
     int addresses_ttl_s = 4;                 ///< How long callers keep an address answer.
     dispatcher_options dispatch;             ///< Decisions.
+    warmup_limits warmup;                    ///< Bound on requests to cold backend servers.
     pool_options pool;                       ///< Connections to backend servers.
     /** Writes the answer to an address question. */
     std::function<std::string(std::vector<endpoint> const& addresses, int ttl_s)> encode_addresses;
-    /** Reads the caller's place from an address question's target. */
-    std::function<std::pair<region_name, domain_name>(std::string const& target)> decode_place;
+    /** Reads an address question from its target. */
+    std::function<address_question(std::string const& target)> decode_question;
 };
 
 // ---- Registration ----
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cornelspring/net.hpp>
+#include <cornelspring/places.hpp>
 
 #include <array>
 #include <deque>
@@ -25,10 +26,6 @@
 using backend_id = strong_id<struct backend_id_tag, std::string>;
 /** Start of a backend server, in Unix milliseconds: tells its incarnations apart; 0 when it does not say. */
 using start_time = strong_id<struct start_time_tag, std::int64_t>;
-/** Name of a failure domain. */
-using domain_name = strong_id<struct domain_name_tag, std::string>;
-/** Name of a region: failure domains near each other. */
-using region_name = strong_id<struct region_name_tag, std::string>;
 /** Key of a request within this process. */
 using request_key = strong_id<struct request_key_tag, std::uint64_t>;
 /** Version of the operators' configuration; grows with every change. */
@@ -81,6 +78,7 @@
     int priority = 0;                         ///< Rank; 0 is the highest.
     bool most_urgent = true;                  ///< No other route over the same shards ranks higher; by serving_config.
     int attempts = 1;                         ///< Most backend servers one request (of one shard) may run on.
+    home_regions homes;                       ///< Regions that may serve it; empty: all.
     std::vector<split_part> split;            ///< Services that share the requests; one for a plain route.
     std::optional<gather_spec> gather;        ///< Set for a route over shards; split is then empty.
 };
@@ -88,6 +86,7 @@
 /** What the configuration says of one service. */
 struct service_spec_limits {
     int max_connections = 16; ///< Connections a backend server of it accepts from all VMs together.
+    warmup_spec warmup;       ///< Its backend servers while they are cold.
 };
 
 /** Limits on what callers may send. */
@@ -112,6 +111,11 @@
     caller_limits const& limits() const { return m_limits; }
     /** @return the connection limit of @p service; a default when it is not named. @param service service. */
     int max_connections(service_name const& service) const;
+    /** @return what @p service says of its cold backend servers. @param service service. */
+    warmup_spec const& warmup(service_name const& service) const;
+    /** @return the regions that may serve all routes of @p host, else those that may serve some; empty: all regions.
+     *  @param host host. */
+    home_regions homes_of_host(std::string const& host) const;
     /** @return the lowest connection limit among the services over which routes gather; 0 when none does. */
     int fewest_connections() const { return m_fewest_connections; }
     /**
@@ -141,20 +145,6 @@
     std::shared_ptr<serving_config const> m_current; ///< In force.
 };
 
-// ---- Places ----
-
-/** How far a backend server is from this VM. */
-enum class proximity { same_domain, same_region, other_region };
-
-/** Where this VM is, and which region each failure domain belongs to. */
-struct locality {
-    domain_name domain;                         ///< Failure domain of this VM.
-    region_name region;                         ///< Region of this VM.
-    std::map<domain_name, region_name> regions; ///< Region of each known failure domain.
-    /** @return how far @p other is. @param other failure domain. */
-    proximity to(domain_name const& other) const;
-};
-
 // ---- Backend servers ----
 
 /** What a backend server has registered about itself. */
@@ -224,8 +214,8 @@
 struct backend_server {
     backend_entry entry;                      ///< What it registered last.
     proximity where = proximity::same_domain; ///< How far it is.
+    server_place place;                       ///< What decides which requests may reach it.
     backend_load load;                        ///< What was observed of it.
-    time_point cold_until;                    ///< Slow after its start until then.
     std::optional<time_point> draining_since; ///< When this VM learned that it leaves.
     bool gone = false;                        ///< Its entry was removed: no new work.
     std::optional<time_point> lapsed_until;   ///< Its entry was removed by a store outage; gone at that time.
@@ -312,6 +302,8 @@
     void on_store_back(time_point now) { m_lapses_until = now + m_lapse_grace; }
     /** Drops the lapsed entries that did not return in time. @param now present time. @return those dropped. */
     std::vector<backend_id> expire(time_point now);
+    /** @return backend servers that say that they are cold. @param now present time. */
+    std::size_t cold_count(time_point now) const;
     /** @return ids of all entries that are not gone. */
     std::vector<backend_id> ids() const;
     /** @return the group of @p service, made when absent; the reference stays valid. @param service service. */
@@ -347,6 +339,9 @@
 enum class selection_miss {
     none,       ///< One was sent.
     no_backend, ///< No backend server may get it.
+    away,       ///< Those that are left are in no home of the request.
+    evacuated,  ///< Those that are left are evacuated.
+    cold,       ///< Those that are left are cold, and have got what this VM may send.
     no_room,    ///< All have as many attempts as this VM may send.
     no_budget,  ///< The allowance of extra arrivals is used up.
     no_gain,    ///< A hedge would not bring the answer sooner.
@@ -362,17 +357,24 @@
     double wait_ms = 0;                         ///< Expected wait there, in milliseconds.
 };
 
+/** What a choice goes by besides what was observed of the backend servers. */
+struct selection_scope {
+    selection_options const& options; ///< Weights.
+    place_rules const& places;        ///< Which backend servers may be reached at all,
+    place_demand asked;               ///< by this request.
+};
+
 /**
- * Chooses the backend server with the lowest expected wait.
+ * Chooses the backend server with the lowest expected wait among those that the request may reach.
  * @param group service. @param tried ids to leave out. @param room most attempts in flight at one backend server.
- * @param options weights. @param random tie breaks. @param now present time.
+ * @param scope weights and places. @param random tie breaks. @param now present time.
  * @return the choice.
  */
 selection choose_backend(service_group const& group, std::vector<backend_id> const& tried, int room,
-                         selection_options const& options, std::mt19937_64& random, time_point now);
+                         selection_scope const& scope, std::mt19937_64& random, time_point now);
 
-/** @return whether some backend server of @p group may get work. @param group service. @param options settings.
- *  @param now present time. */
-bool takes_work(service_group const& group, selection_options const& options, time_point now);
+/** @return none when some backend server of @p group may get work, else why not. @param group service. @param scope
+ *  weights and places. @param now present time. */
+selection_miss why_no_work(service_group const& group, selection_scope const& scope, time_point now);
 
 } // namespace cornelspring
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -173,8 +173,9 @@
 // ---- Public interface ----
 
 dispatcher::dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-                       request_quarantine& quarantine, dispatcher_hooks hooks, std::uint64_t seed)
-    : m_impl(std::make_unique<impl>(std::move(options), configs, registry, quarantine, std::move(hooks), seed))
+                       place_rules const& places, request_quarantine& quarantine, dispatcher_hooks hooks,
+                       std::uint64_t seed)
+    : m_impl(std::make_unique<impl>(std::move(options), configs, registry, places, quarantine, std::move(hooks), seed))
 {
 }
 
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -26,7 +26,8 @@
 /** A caller has been here before when more than this share of its time has gone. */
 constexpr double returning_share = 0.03;
 
-/** @return @p text as a number of milliseconds, when it is one. */
+} // namespace
+
 std::optional<milliseconds> parse_ms(std::string const& text)
 {
     std::int64_t value = 0;
@@ -35,8 +36,6 @@
     return milliseconds(value);
 }
 
-} // namespace
-
 void dispatcher::impl::start(request_key key, http_request message, request_timing timing, caller_address caller,
                              time_point now)
 {
@@ -81,7 +80,11 @@
     }
     add_shards(request, now);
     if (double const wait = blocked_wait_s(request, now); wait > 0) {
-        answer_at_once(key, request.summary, refusal("too few backend servers have room", wait), "no_room");
+        auto const& summary = request.summary;
+        bool const for_place = summary.no_home + summary.evacuated + summary.cold > 0;
+        auto const* text =
+            for_place ? "too few backend servers may serve it where they are" : "too few backend servers have room";
+        answer_at_once(key, summary, refusal(text, wait), for_place ? "no_place" : "no_room");
         return;
     }
     if (options.admission && !admitted(request, now)) {
@@ -202,18 +205,32 @@
     return out;
 }
 
+selection_scope dispatcher::impl::scope(request_state const& request, service_group const& group) const
+{
+    return {options.selection, places, {request.via->homes, request.config->warmup(group.name)}};
+}
+
+void dispatcher::impl::note_miss(request_summary& summary, selection_miss miss)
+{
+    if (miss == selection_miss::away) ++summary.no_home;
+    if (miss == selection_miss::evacuated) ++summary.evacuated;
+    if (miss == selection_miss::cold) ++summary.cold;
+}
+
 /**
  * Admission: a request that would wait for room beyond its goal at more shards than it can spare is refused on
  * arrival, so that callers come back later in place of queueing past their deadlines.
  * A shard without any backend server to send to counts as blocked too.
  * @return the expected wait in seconds when it is to be refused, else 0.
  */
-double dispatcher::impl::blocked_wait_s(request_state const& request, time_point now) const
+double dispatcher::impl::blocked_wait_s(request_state& request, time_point now) const
 {
     std::size_t blocked = 0;
     double longest = options.retry_after_s;
     for (auto const& shard : request.shards) {
-        if (!takes_work(*shard.group, options.selection, now)) {
+        auto const miss = why_no_work(*shard.group, scope(request, *shard.group), now);
+        if (miss != selection_miss::none) {
+            note_miss(request.summary, miss);
             ++blocked;
             continue;
         }
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -46,8 +46,12 @@
 selection_miss dispatcher::impl::send(request_state& request, std::size_t index, attempt_reason reason, time_point now)
 {
     auto& shard = request.shards[index];
-    auto const chosen = choose_backend(*shard.group, shard.tried, room(request, shard), options.selection, random, now);
-    if (!chosen.target) return chosen.miss;
+    auto const asked = scope(request, *shard.group);
+    auto const chosen = choose_backend(*shard.group, shard.tried, room(request, shard), asked, random, now);
+    if (!chosen.target) {
+        if (reason != attempt_reason::hedge) note_miss(request.summary, chosen.miss);
+        return chosen.miss;
+    }
     // A hedge at a server that may be stalled too would only add load.
     if (reason == attempt_reason::hedge && (chosen.suspect || !hedge_gains(request, shard, chosen, now))) {
         return selection_miss::no_gain;
@@ -76,6 +80,7 @@
                      open_attempt{request.key, index, shard.group, chosen.target,
                                   &request.latencies->of(chosen.target->where), now, request.cautious, false});
     chosen.target->load.on_sent();
+    places.on_sent(chosen.target->place, scope(request, *shard.group).asked, now);
     shard.tried.push_back(chosen.target->entry.id);
     shard.open.push_back(id);
     ++shard.sends;
@@ -120,6 +125,9 @@
     case selection_miss::no_budget:
     case selection_miss::no_gain:
     case selection_miss::no_backend:
+    case selection_miss::away:
+    case selection_miss::evacuated:
+    case selection_miss::cold:
         request.shards[index].failed = true;
         ++request.failed;
         return;
@@ -237,6 +245,7 @@
     auto const took = std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.sent);
     attempt.target->load.on_ended(result.end, took, now);
     if (result.end == attempt_end::wrong_server) attempt.target->gone = true;
+    if (result.end == attempt_end::answered) note_warmup(*attempt.target, result.response, now);
     if (result.end == attempt_end::answered) {
         attempt.latencies->add(took);
         double const ms = static_cast<double>(took.count()) / 1000.0;
@@ -262,6 +271,12 @@
     pump(*attempt.group, now);
 }
 
+void dispatcher::impl::note_warmup(backend_server& server, http_response const& response, time_point now) const
+{
+    if (options.names.warmup_left.empty()) return;
+    if (auto const left = parse_ms(response.header(options.names.warmup_left))) server.place.cold_until = now + *left;
+}
+
 bool dispatcher::impl::usable_answer(request_state const& request, http_response const& response) const
 {
     bool const success = response.status / 100 == 2;
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -8,6 +8,8 @@
 /** Time the final answer needs to reach the caller before its deadline. */
 inline constexpr milliseconds deadline_margin{25};
 
+/** @return @p text as a number of milliseconds, when it is one. @param text text. */
+std::optional<milliseconds> parse_ms(std::string const& text);
 /** @return a response of this VM's own. @param status status. @param text one line for people. */
 http_response own_answer(int status, std::string const& text);
 
@@ -16,6 +18,7 @@
     dispatcher_options options;                                             ///< Settings.
     config_holder const& configs;                                           ///< Configuration in force.
     backend_registry& registry;                                             ///< Backend servers.
+    place_rules const& places;                                              ///< Which of them a request may reach.
     recent_answers answered;                                                ///< Requests that do not crash servers.
     request_quarantine& quarantine;                                         ///< Requests that crash them.
     dispatcher_hooks hooks;                                                 ///< Outside calls.
@@ -34,9 +37,9 @@
     /** Requests that ended during the present outside call; functions further up may still refer to them. */
     std::vector<std::unique_ptr<request_state>> ended;
 
-    impl(dispatcher_options o, config_holder const& c, backend_registry& r, request_quarantine& q, dispatcher_hooks h,
-         std::uint64_t seed)
-        : options(std::move(o)), configs(c), registry(r), quarantine(q), hooks(std::move(h)), random(seed)
+    impl(dispatcher_options o, config_holder const& c, backend_registry& r, place_rules const& p, request_quarantine& q,
+         dispatcher_hooks h, std::uint64_t seed)
+        : options(std::move(o)), configs(c), registry(r), places(p), quarantine(q), hooks(std::move(h)), random(seed)
     {
     }
 
@@ -77,7 +80,11 @@
     /** @return start line and forwarded headers of every attempt of the request. */
     std::string head_bytes(request_state const& request) const;
     /** @return the wait in seconds when too few shards have room, else 0. */
-    double blocked_wait_s(request_state const& request, time_point now) const;
+    double blocked_wait_s(request_state& request, time_point now) const;
+    /** @return what a choice of a backend server goes by. */
+    selection_scope scope(request_state const& request, service_group const& group) const;
+    /** Notes that no backend server was left for a shard, for the log. */
+    static void note_miss(request_summary& summary, selection_miss miss);
     /** @return the share of queries like this one that its shards can answer. */
     static double coverable(request_state const& request, time_point now);
     /** @return whether a query may begin now. */
@@ -152,6 +159,8 @@
 
     /** Takes in the result of an attempt. */
     void on_result(attempt_id id, attempt_result result, time_point now);
+    /** Takes in how long a backend server says that it stays cold. */
+    void note_warmup(backend_server& server, http_response const& response, time_point now) const;
     /** Takes in a whole response. */
     void on_answer(request_state& request, std::size_t index, http_response response, time_point now);
     /** Takes in an attempt without a response to use. */
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -42,6 +42,7 @@
         std::size_t region = 0;                                       ///< Region.
         config_holder configs;                                        ///< Configuration.
         std::unique_ptr<backend_registry> registry;                   ///< Backend servers.
+        place_rules places;                                           ///< Which of them a request may reach.
         request_quarantine quarantine;                                ///< Requests that crash backend servers.
         std::unique_ptr<dispatcher> requests;                         ///< Decisions.
         std::unordered_map<std::uint64_t, caller_task> open;          ///< Callers by request key.
@@ -96,7 +97,8 @@
 
 model::model(emulated_deployment const& deployment) : m_deployment(deployment), m_random(deployment.seed)
 {
-    m_deployment.options.names = {"request-id", "deadline", "target", "signature", "not-run", "parts", "missing"};
+    m_deployment.options.names = {"request-id", "deadline", "target", "signature",
+                                  "not-run",    "warmup",   "parts",  "missing"};
     auto const count = m_deployment.shards * m_deployment.replicas;
     for (int i = 0; i < count; ++i) {
         m_servers.push_back(std::make_unique<modelled_server>(m_todo, m_deployment, m_random));
@@ -123,7 +125,7 @@
     gather_spec gather;
     for (int i = 0; i < m_deployment.shards; ++i) {
         gather.shards.emplace_back("s" + std::to_string(i));
-        services[gather.shards.back()] = {m_deployment.max_connections};
+        services[gather.shards.back()] = {m_deployment.max_connections, {}};
     }
     for (auto const& kind : m_deployment.kinds) {
         route made;
@@ -184,7 +186,7 @@
     };
     hooks.answer = [this, &vm](request_key key, http_response response) { answered(vm, key, response); };
     hooks.finished = [](request_summary const&) {};
-    vm.requests = std::make_unique<dispatcher>(m_deployment.options, vm.configs, *vm.registry, vm.quarantine,
+    vm.requests = std::make_unique<dispatcher>(m_deployment.options, vm.configs, *vm.registry, vm.places, vm.quarantine,
                                                std::move(hooks), m_random());
 
     vm.requests->set_vms(static_cast<std::size_t>(m_deployment.vms));
--- a/src/gateway/address_answers.cpp
+++ b/src/gateway/address_answers.cpp
@@ -86,15 +86,18 @@
 }
 
 std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
-                                       region_name const& region, domain_name const& domain, std::mt19937_64& random)
+                                       address_question const& asked, home_regions const& homes,
+                                       std::mt19937_64& random)
 {
-    auto chosen = active_members(members, active, [&](gateway_member const& each) { return each.domain == domain; });
-    if (chosen.size() < fewest_addresses) {
-        chosen = active_members(members, active, [&](gateway_member const& each) { return each.region == region; });
-    }
-    if (chosen.size() < fewest_addresses) {
-        chosen = active_members(members, active, [](gateway_member const&) { return true; });
-    }
+    auto const in_domain = [&](gateway_member const& each) { return each.domain == asked.domain; };
+    auto const in_region = [&](gateway_member const& each) { return each.region == asked.region; };
+    auto const in_home = [&](gateway_member const& each) { return homes.contains(each.region); };
+    auto const anywhere = [](gateway_member const&) { return true; };
+    auto const enough_elsewhere = homes.empty() ? fewest_addresses : 1;
+    auto chosen = active_members(members, active, in_domain);
+    if (chosen.size() < fewest_addresses) chosen = active_members(members, active, in_region);
+    if (chosen.size() < enough_elsewhere) chosen = active_members(members, active, in_home);
+    if (chosen.size() < enough_elsewhere) chosen = active_members(members, active, anywhere);
     std::shuffle(chosen.begin(), chosen.end(), random);
     chosen.resize(std::min(chosen.size(), max_addresses));
     return chosen;
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -25,6 +25,7 @@
     event_loop loop;                                ///< The I/O thread.
     config_holder configs;                          ///< Configuration in force.
     backend_registry registry;                      ///< Backend servers.
+    place_rules places;                             ///< Which of them a request may reach.
     request_quarantine quarantine;                  ///< Requests that crash backend servers.
     member_map members;                             ///< Gateways.
     std::set<std::string> active;                   ///< Gateways that callers are sent to.
@@ -54,7 +55,7 @@
     bool stopped_accepting = false;                 ///< Listeners are closed.
 
     impl(gateway_settings s, store_codec c)
-        : settings(std::move(s)), codec(std::move(c)), registry(settings.place, lapse_grace),
+        : settings(std::move(s)), codec(std::move(c)), registry(settings.place, lapse_grace), places(settings.warmup),
           followers(mirror, follower_hooks()), log(loop), peer_codec(make_peer_codec(member_key())),
           source_calls(loop, codec, peer_codec)
     {
@@ -110,6 +111,8 @@
     void on_config(store_item const& item);
     /** Takes in the entry of a backend server. */
     void on_backend(store_item const& item);
+    /** Takes in the evacuation of a failure domain, or that it was taken back. */
+    void on_evacuation(store_item const& item);
     /** @return the backend server of an entry. */
     backend_id backend_of(store_item const& item) const;
     /** Takes in that a backend server has no entry any more. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -50,6 +50,9 @@
         append_number(line, "coverable_percent", static_cast<std::int64_t>(summary.coverable_share * 100));
         append_number(line, "admitted_percent", static_cast<std::int64_t>(summary.admitted_share * 100));
     }
+    if (summary.no_home > 0) append_number(line, "no_home", summary.no_home);
+    if (summary.evacuated > 0) append_number(line, "evacuated", summary.evacuated);
+    if (summary.cold > 0) append_number(line, "cold", summary.cold);
     if (!summary.extra.empty()) {
         line += ",\"extra\":";
         append_quoted(line, summary.extra);
@@ -170,6 +173,15 @@
     write({{"event", "config"}, {"version", version.value()}, {"revision", revision}, {"applied", applied}});
 }
 
+void gateway_log::evacuation(domain_name const& domain, bool in_force, std::int64_t revision, milliseconds state_age)
+{
+    write({{"event", "evacuation"},
+           {"domain", domain.value()},
+           {"in_force", in_force},
+           {"revision", revision},
+           {"state_age_ms", state_age.count()}});
+}
+
 void gateway_log::learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision,
                           milliseconds state_age)
 {
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -42,6 +42,9 @@
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
     void config(config_version version, std::int64_t revision, bool applied);
+    /** The evacuation of a failure domain began or ended. @param domain which. @param in_force whether it began.
+     *  @param revision store revision. @param state_age age of the copy. */
+    void evacuation(domain_name const& domain, bool in_force, std::int64_t revision, milliseconds state_age);
     /**
      * The belief about backend servers and gateways changed. Every gateway learns the same, so that those that watch
      * the store name each change, and all others, and a full read, only say how many and up to which revision: a
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -29,6 +29,10 @@
                   .Name("cornel_gateway_extra_attempts_total")
                   .Help("Attempts beyond the first of a shard: hedges and retries")
                   .Register(*m_registry)),
+      m_unplaced(prometheus::BuildCounter()
+                     .Name("cornel_gateway_unplaced_total")
+                     .Help("Choices of a backend server that a rule on places left without one")
+                     .Register(*m_registry)),
       m_state(prometheus::BuildGauge().Name("cornel_gateway_state").Help("Open work").Register(*m_registry))
 {
 }
@@ -39,16 +43,24 @@
     m_latency.Add({{"route", summary.route_name}}, latency_buckets)
         .Observe(std::chrono::duration<double>(summary.took).count());
     if (summary.hedges > 0) m_extra.Add({{"kind", "hedge"}}).Increment(summary.hedges);
+    if (summary.no_home > 0) m_unplaced.Add({{"rule", "home"}}).Increment(summary.no_home);
+    if (summary.evacuated > 0) m_unplaced.Add({{"rule", "evacuation"}}).Increment(summary.evacuated);
+    if (summary.cold > 0) m_unplaced.Add({{"rule", "cold"}}).Increment(summary.cold);
     if (summary.retries > 0) m_extra.Add({{"kind", "retry"}}).Increment(summary.retries);
 }
 
 void gateway_metrics::on_attempt(attempt_end end) { m_attempts.Add({{"end", to_string(end)}}).Increment(); }
 
-void gateway_metrics::set_state(std::size_t open, std::size_t connections, std::uint64_t opened)
+void gateway_metrics::set_state(gauges const& values)
 {
-    m_state.Add({{"what", "open_requests"}}).Set(static_cast<double>(open));
-    m_state.Add({{"what", "caller_connections"}}).Set(static_cast<double>(connections));
-    m_state.Add({{"what", "backend_connections_opened"}}).Set(static_cast<double>(opened));
+    auto const set = [this](char const* what, auto value) {
+        m_state.Add({{"what", what}}).Set(static_cast<double>(value));
+    };
+    set("open_requests", values.open_requests);
+    set("caller_connections", values.caller_connections);
+    set("backend_connections_opened", values.connections);
+    set("evacuated_domains", values.evacuated_domains);
+    set("cold_servers", values.cold_servers);
 }
 
 std::string gateway_metrics::text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -18,9 +18,16 @@
     void on_request(request_summary const& summary);
     /** Counts an attempt that ended. @param end how. */
     void on_attempt(attempt_end end);
-    /** Sets the gauges. @param open open requests. @param connections callers' connections. @param opened backend
-     *  connections opened since the start. */
-    void set_state(std::size_t open, std::size_t connections, std::uint64_t opened);
+    /** Present values of the gauges. */
+    struct gauges {
+        std::size_t open_requests = 0;      ///< Requests not yet answered.
+        std::size_t caller_connections = 0; ///< Connections of callers.
+        std::uint64_t connections = 0;      ///< Connections to backend servers opened since the start.
+        std::size_t evacuated_domains = 0;  ///< Failure domains evacuated.
+        std::size_t cold_servers = 0;       ///< Backend servers that say that they are cold.
+    };
+    /** Sets the gauges. @param values present values. */
+    void set_state(gauges const& values);
     /** @return all metrics as Prometheus text. */
     std::string text() const;
 
@@ -30,6 +37,7 @@
     prometheus::Family<prometheus::Histogram>& m_latency; ///< Latency by route.
     prometheus::Family<prometheus::Counter>& m_attempts;  ///< Attempts by end.
     prometheus::Family<prometheus::Counter>& m_extra;     ///< Hedges and retries.
+    prometheus::Family<prometheus::Counter>& m_unplaced;  ///< Choices without a server, by rule.
     prometheus::Family<prometheus::Gauge>& m_state;       ///< Gauges.
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -155,6 +155,7 @@
     // Those that callers are not sent to see next to no requests; one that is not active counts itself among all.
     auto const sharing = active.contains(member_key()) ? active.size() : members.size();
     requests->set_vms(std::max(sharing, least_vms));
+    places.shares().set_sharers(active, member_key(), loop.now());
 }
 
 void gateway::impl::on_item(store_item const& item)
@@ -166,6 +167,8 @@
             on_backend(item);
         } else if (item.key.starts_with(member_prefix)) {
             on_member(item);
+        } else if (item.key.starts_with(codec.evacuation_prefix)) {
+            on_evacuation(item);
         } else if (item.key.starts_with(crash_records_prefix)) {
             on_crash_records(item);
         }
@@ -184,6 +187,15 @@
     log.config(next->version(), item.revision, newer);
 }
 
+void gateway::impl::on_evacuation(store_item const& item)
+{
+    domain_name const domain(item.key.substr(codec.evacuation_prefix.size()));
+    auto& evacuated = places.evacuated();
+    auto const now = loop.now();
+    bool const changed = item.removed ? evacuated.end(domain, now) : evacuated.begin(domain, item.revision, now);
+    if (changed) log.evacuation(domain, !item.removed, item.revision, followers.age());
+}
+
 backend_id gateway::impl::backend_of(store_item const& item) const
 {
     return backend_id(item.key.substr(codec.backend_prefix.size()));
--- /dev/null
+++ b/src/places/evacuations.cpp
@@ -0,0 +1,37 @@
+/** @file evacuations.cpp Failure domains whose backend servers get nothing. */
+#include <cornelspring/places.hpp>
+
+namespace cornelspring {
+
+proximity locality::to(domain_name const& other) const
+{
+    if (other == domain) return proximity::same_domain;
+    return region_of(other) == region ? proximity::same_region : proximity::other_region;
+}
+
+region_name locality::region_of(domain_name const& of) const
+{
+    auto const found = regions.find(of);
+    return found == regions.end() ? region_name() : found->second;
+}
+
+bool evacuations::begin(domain_name const& domain, std::int64_t revision, time_point now)
+{
+    return m_orders.emplace(domain, order{revision, now}).second;
+}
+
+bool evacuations::end(domain_name const& domain, time_point now)
+{
+    if (m_orders.erase(domain) == 0) return false;
+    m_ended[domain] = now;
+    return true;
+}
+
+std::optional<time_point> evacuations::ended_at(domain_name const& domain) const
+{
+    auto const found = m_ended.find(domain);
+    if (found == m_ended.end()) return std::nullopt;
+    return found->second;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/places/warmup.cpp
@@ -0,0 +1,61 @@
+/** @file warmup.cpp How much a cold backend server gets from this VM. */
+#include <cornelspring/places.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace cornelspring {
+namespace {
+
+/** Share of the bound that all VMs together use; the rest is for VMs that are cut off and divide by an old number. */
+constexpr double used_share = 0.7;
+/** A VM that has just joined sends nothing to cold servers until the others divide by it too. */
+constexpr milliseconds join_pause{1500};
+/** The bound counts requests by seconds. */
+constexpr milliseconds pace_window{1000};
+
+/** @return the rank by which the rest of a division is dealt: the same on all VMs. */
+std::size_t rank_of(std::string const& server, std::string const& sharer)
+{
+    return std::hash<std::string>()(server + "\n" + sharer);
+}
+
+} // namespace
+
+void warmup_shares::set_sharers(std::set<std::string> const& sharers, std::string const& self, time_point now)
+{
+    m_sharers.assign(sharers.begin(), sharers.end());
+    m_self = self;
+    if (!sharers.contains(self)) {
+        m_since.reset();
+    } else if (!m_since) {
+        m_since = now;
+    }
+}
+
+int warmup_shares::share(std::string const& server, double bound, time_point now) const
+{
+    if (!m_since || now < *m_since + join_pause) return 0;
+    auto const all = static_cast<std::size_t>(std::max(0.0, used_share * bound));
+    auto const count = m_sharers.size();
+    auto const rest = all % count;
+    auto const own = rank_of(server, m_self);
+    auto const ahead = static_cast<std::size_t>(std::count_if(
+        m_sharers.begin(), m_sharers.end(), [&](auto const& each) { return rank_of(server, each) < own; }));
+    return static_cast<int>(all / count + (ahead < rest ? 1 : 0));
+}
+
+void warmup_pace::on_sent(time_point now)
+{
+    while (!m_sent.empty() && m_sent.front() <= now - pace_window)
+        m_sent.pop_front();
+    m_sent.push_back(now);
+}
+
+int warmup_pace::recent(time_point now) const
+{
+    return static_cast<int>(
+        std::count_if(m_sent.begin(), m_sent.end(), [now](time_point sent) { return sent > now - pace_window; }));
+}
+
+} // namespace cornelspring
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -53,6 +53,9 @@
     switch (miss) {
     case selection_miss::none: return "none";
     case selection_miss::no_backend: return "no_backend";
+    case selection_miss::away: return "away";
+    case selection_miss::evacuated: return "evacuated";
+    case selection_miss::cold: return "cold";
     case selection_miss::no_room: return "no_room";
     case selection_miss::no_budget: return "no_budget";
     case selection_miss::no_gain: return "no_gain";
@@ -60,13 +63,6 @@
     return "unknown";
 }
 
-proximity locality::to(domain_name const& other) const
-{
-    if (other == domain) return proximity::same_domain;
-    auto const found = regions.find(other);
-    return found != regions.end() && found->second == region ? proximity::same_region : proximity::other_region;
-}
-
 void backend_load::on_ended(attempt_end end, std::chrono::microseconds took, time_point now)
 {
     --m_in_flight;
@@ -145,7 +141,10 @@
     bool const changed = is_new || server.gone || server.lapsed_until || server.entry.draining != entry.draining;
     server.entry = entry;
     server.where = m_place.to(entry.domain);
-    server.cold_until = now + entry.warmup_left;
+    server.place.domain = entry.domain;
+    server.place.region = m_place.region_of(entry.domain);
+    server.place.id = entry.id.value();
+    server.place.cold_until = now + entry.warmup_left;
     server.gone = false;
     server.lapsed_until.reset();
     if (!entry.draining) {
@@ -186,6 +185,12 @@
     return dropped;
 }
 
+std::size_t backend_registry::cold_count(time_point now) const
+{
+    auto const cold = [now](auto const& known) { return now < known.second->place.cold_until; };
+    return static_cast<std::size_t>(std::count_if(m_backends.begin(), m_backends.end(), cold));
+}
+
 std::vector<backend_id> backend_registry::ids() const
 {
     std::vector<backend_id> all;
@@ -229,7 +234,7 @@
 {
     double const slots = std::max(1, server.entry.slots);
     double wait = server.load.latency_ms(usual, now) * (1.0 + server.load.in_flight() / slots);
-    if (now < server.cold_until) wait *= options.cold_factor;
+    if (now < server.place.cold_until) wait *= options.cold_factor;
     wait *= 1.0 + options.failure_weight * server.load.failure_rate();
     if (server.where == proximity::other_region) return wait + options.other_region_ms;
     if (server.where == proximity::same_region) return wait + options.other_domain_ms;
@@ -260,33 +265,66 @@
 
 } // namespace
 
-bool takes_work(service_group const& group, selection_options const& options, time_point now)
+namespace {
+
+/** Why no candidate is left: the rule that will give way first, as callers are told when to come back. */
+class miss_reason {
+public:
+    /** A backend server was left out for a rule on places. */
+    void add(place_refusal refusal)
+    {
+        if (refusal == place_refusal::away && m_miss == selection_miss::no_backend) m_miss = selection_miss::away;
+        if (refusal == place_refusal::evacuated && m_miss != selection_miss::cold) m_miss = selection_miss::evacuated;
+        if (refusal == place_refusal::cold) m_miss = selection_miss::cold;
+    }
+    /** @return the reason. */
+    selection_miss value() const { return m_miss; }
+
+private:
+    selection_miss m_miss = selection_miss::no_backend; ///< So far.
+};
+
+} // namespace
+
+selection_miss why_no_work(service_group const& group, selection_scope const& scope, time_point now)
 {
-    return std::any_of(group.backends.begin(), group.backends.end(),
-                       [&](auto const& server) { return usable(*server, options, now) != usability::none; });
+    miss_reason reason;
+    for (auto const& server : group.backends) {
+        if (usable(*server, scope.options, now) == usability::none) continue;
+        auto const refused = scope.places.refusal(server->place, scope.asked, now);
+        if (refused == place_refusal::none) return selection_miss::none;
+        reason.add(refused);
+    }
+    return reason.value();
 }
 
 selection choose_backend(service_group const& group, std::vector<backend_id> const& tried, int room,
-                         selection_options const& options, std::mt19937_64& random, time_point now)
+                         selection_scope const& scope, std::mt19937_64& random, time_point now)
 {
     std::vector<candidate> good;
     std::vector<candidate> suspect;
     std::vector<candidate> leaving;
     bool any = false;
+    miss_reason reason;
     for (auto const& server : group.backends) {
         if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
-        auto const use = usable(*server, options, now);
+        auto const use = usable(*server, scope.options, now);
         if (use == usability::none) continue;
+        if (auto const refused = scope.places.refusal(server->place, scope.asked, now);
+            refused != place_refusal::none) {
+            reason.add(refused);
+            continue;
+        }
         any = true;
         if (server->load.in_flight() >= room) continue;
-        candidate const made{server, expected_wait_ms(*server, group.usual_latency_ms, options, now)};
+        candidate const made{server, expected_wait_ms(*server, group.usual_latency_ms, scope.options, now)};
         (use == usability::last_resort ? leaving : server->load.suspect(now) ? suspect : good).push_back(made);
     }
     for (auto const* group_of : {&good, &suspect, &leaving}) {
         auto const [target, wait_ms] = pick_near_lowest(*group_of, random);
         if (target) return {target, selection_miss::none, group_of != &good, wait_ms};
     }
-    return {nullptr, any ? selection_miss::no_room : selection_miss::no_backend, false, 0};
+    return {nullptr, any ? selection_miss::no_room : reason.value(), false, 0};
 }
 
 } // namespace cornelspring
--- a/src/routing/serving_config.cpp
+++ b/src/routing/serving_config.cpp
@@ -49,6 +49,26 @@
     return found == m_services.end() ? default_max_connections : found->second.max_connections;
 }
 
+warmup_spec const& serving_config::warmup(service_name const& service) const
+{
+    static warmup_spec const unbounded;
+    auto const found = m_services.find(service);
+    return found == m_services.end() ? unbounded : found->second.warmup;
+}
+
+home_regions serving_config::homes_of_host(std::string const& host) const
+{
+    home_regions some;
+    std::optional<home_regions> all;
+    for (auto const& each : m_routes) {
+        if (each.host != host || each.homes.empty()) continue;
+        some.insert(each.homes.begin(), each.homes.end());
+        if (!all) all = each.homes;
+        std::erase_if(*all, [&each](region_name const& region) { return !each.homes.contains(region); });
+    }
+    return all && !all->empty() ? *all : some;
+}
+
 route const* serving_config::match(std::string_view host, std::string_view path) const
 {
     path = path.substr(0, path.find('?'));
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -11,7 +11,9 @@
 struct dispatcher_fixture {
     /** Services: s and t with two backend servers each, and four shards g0 to g3 with two each. */
     explicit dispatcher_fixture(dispatcher_options options = {}, char const* config = "default")
-        : registry({domain_name("d"), region_name("r"), {{domain_name("d"), region_name("r")}}},
+        : registry({domain_name("d"),
+                    region_name("r"),
+                    {{domain_name("d"), region_name("r")}, {domain_name("e"), region_name("q")}}},
                    std::chrono::milliseconds(2200))
     {
         for (char const* service : {"s", "t", "g0", "g1", "g2", "g3"}) {
@@ -19,13 +21,14 @@
                 add_backend(service, replica);
         }
         if (config != nullptr) configs.offer(config_of(1, {"g0", "g1", "g2", "g3"}));
-        options.names = {"request-id", "deadline", "target", "signature", "not-run", "parts", "missing"};
+        options.names = {"request-id", "deadline", "target", "signature", "not-run", "warmup", "parts", "missing"};
         dispatcher_hooks hooks;
         hooks.send = [this](attempt_order order) { sent.push_back(std::move(order)); };
         hooks.cancel = [this](attempt_id id) { cancelled.insert(id.value()); };
         hooks.answer = [this](request_key key, http_response response) { answers[key.value()] = std::move(response); };
         hooks.finished = [this](request_summary const& summary) { finished.push_back(summary); };
-        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, quarantine, std::move(hooks), 1);
+        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, places, quarantine,
+                                                std::move(hooks), 1);
     }
 
     /** Registers a backend server named after service and replica. */
@@ -68,7 +71,7 @@
         gather.gather->min_coverage = 0.75;
         std::map<service_name, service_spec_limits> services;
         for (char const* service : {"s", "t", "g0", "g1", "g2", "g3"})
-            services[service_name(service)] = {60};
+            services[service_name(service)] = {60, {}};
         return std::make_shared<serving_config const>(config_version(version), std::move(routes), std::move(services),
                                                       caller_limits{});
     }
@@ -126,6 +129,7 @@
     time_point now = begin;                         ///< Virtual time.
     config_holder configs;                          ///< Configuration.
     backend_registry registry;                      ///< Backend servers.
+    place_rules places;                             ///< Which of them a request may reach.
     request_quarantine quarantine;                  ///< Requests that crash backend servers.
     clock::duration waited{0};                      ///< Time that requests have waited unread.
     clock::duration round_trip{0};                  ///< Time on the network of the requests.
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -109,11 +109,13 @@
     store("put", {{"key", "servers/" + id}, {"value", entry}});
 }
 
-void gateway_fleet::configure(int version, std::vector<std::string> const& shards)
+void gateway_fleet::configure(int version, std::vector<std::string> const& shards,
+                              std::vector<std::string> const& homes)
 {
-    auto const route = [](char const* prefix, char const* kind) {
-        return json{{"name", prefix},     {"hostname", "h.example"}, {"prefix", prefix}, {"route_type", kind},
-                    {"timeout_ms", 2000}, {"goal_ms", 400},          {"priority", 1},    {"attempts", 2}};
+    auto const route = [&homes](char const* prefix, char const* kind) {
+        return json{{"name", prefix},     {"hostname", "h.example"}, {"prefix", prefix},
+                    {"route_type", kind}, {"timeout_ms", 2000},      {"goal_ms", 400},
+                    {"priority", 1},      {"attempts", 2},           {"home_regions", homes}};
     };
     auto gather = route("/q/", "idempotent");
     gather["gather"] = shards;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -41,8 +41,9 @@
                       std::string const& body = "", std::string const& from = "127.0.0.1");
     /** @return the answer of @p path at @p to. */
     static http_response get(endpoint const& to, std::string const& path);
-    /** Puts configuration @p version into the store, gathering over @p shards. */
-    void configure(int version, std::vector<std::string> const& shards = {"g0", "g1", "g2", "g3"});
+    /** Puts configuration @p version into the store, gathering over @p shards, with @p homes for all routes. */
+    void configure(int version, std::vector<std::string> const& shards = {"g0", "g1", "g2", "g3"},
+                   std::vector<std::string> const& homes = {});
     /** Calls the store's own API for tests. */
     nlohmann::json store(std::string const& path, nlohmann::json const& body = nlohmann::json::object());
     /** Sets what backend servers do. */
--- a/tests/test_backend_entries.cpp
+++ b/tests/test_backend_entries.cpp
@@ -63,7 +63,7 @@
     CHECK_FALSE(after->load.suspect(start + 10ms));
     CHECK(after->load.in_flight() == 0);
     CHECK(after->load.failure_rate() == 0);
-    CHECK(after->cold_until == start + 3010ms);
+    CHECK(after->place.cold_until == start + 3010ms);
     CHECK(registry.group(service_name("s")).backends.size() == 1);
 }
 
--- /dev/null
+++ b/tests/test_gateway_places.cpp
@@ -0,0 +1,73 @@
+/** @file test_gateway_places.cpp Homes and evacuations at the gateway process, against the platform on loopback. */
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+/** The journal's entries from the @p from-th on that reached servers of failure domain @p domain. */
+int reached_in(gateway_fleet& fleet, std::size_t from, std::string const& domain)
+{
+    auto const entries = fleet.entries();
+    auto const journal = fleet.journal();
+    int found = 0;
+    for (std::size_t i = from; i < journal.size(); ++i)
+        found += entries[journal[i]["backend"].get<std::string>()]["zone"] == domain ? 1 : 0;
+    return found;
+}
+
+/** Asks for answers of both kinds. @return how many were successes. */
+int ask_ten(gateway_fleet& fleet, int gateway, std::string const& tag)
+{
+    int served = 0;
+    for (int i = 0; i < 5; ++i) {
+        served += fleet.ask(gateway, "/q/x", tag + "q" + std::to_string(i)).status == 200 ? 1 : 0;
+        served += fleet.ask(gateway, "/r/x", tag + "r" + std::to_string(i)).status == 200 ? 1 : 0;
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("an evacuated failure domain gets nothing, also from a gateway that starts later, until it is taken back")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1, "d1");
+    CHECK(ask_ten(fleet, 1, "a") == 10);
+    CHECK(reached_in(fleet, 0, "d1") > 0);
+    fleet.store("put", {{"key", "op/evacuate/d1"}, {"value", json::object()}});
+    std::this_thread::sleep_for(500ms);
+    auto const evacuated = fleet.journal().size();
+    CHECK(ask_ten(fleet, 1, "b") == 10);
+    fleet.start_gateway(2, "d1");
+    CHECK(ask_ten(fleet, 2, "c") == 10);
+    CHECK(reached_in(fleet, evacuated, "d1") == 0);
+    fleet.store("drop", {{"key", "op/evacuate/d1"}});
+    CHECK(within_ten_seconds([&] {
+        auto const from = fleet.journal().size();
+        ask_ten(fleet, 1, "d");
+        return reached_in(fleet, from, "d1") > 0;
+    }));
+}
+
+TEST_CASE("a route with homes is served there alone, while the store is away too")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1, "d1");
+    fleet.configure(2, {"g0", "g1", "g2", "g3"}, {"r-d2"});
+    std::this_thread::sleep_for(500ms);
+    auto const from = fleet.journal().size();
+    CHECK(ask_ten(fleet, 1, "a") == 10);
+    fleet.store("fault", {{"mode", "silent"}});
+    CHECK(ask_ten(fleet, 1, "b") == 10);
+    CHECK(reached_in(fleet, from, "d1") == 0);
+    CHECK(reached_in(fleet, from, "d2") > 0);
+}
--- a/tests/test_gateway_state.cpp
+++ b/tests/test_gateway_state.cpp
@@ -28,6 +28,12 @@
     return found;
 }
 
+/** @return the address question of a caller in @p domain of @p region. */
+address_question question(std::string const& region, std::string const& domain)
+{
+    return {"h.example", region_name(region), domain_name(domain)};
+}
+
 } // namespace
 
 TEST_CASE("mirror: followers get the differences of a complete re-read as changes")
@@ -214,12 +220,10 @@
     SUBCASE("own failure domain first, more when there are too few")
     {
         auto const all = choose_active(members, 100);
-        CHECK(ports(choose_addresses(members, all, region_name("r1"), domain_name("d1"), random)) ==
-              std::set<int>{3, 4, 5});
+        CHECK(ports(choose_addresses(members, all, question("r1", "d1"), {}, random)) == std::set<int>{3, 4, 5});
         auto const few = choose_active(members, 2);
-        CHECK(ports(choose_addresses(members, few, region_name("r1"), domain_name("d1"), random)) ==
-              std::set<int>{2, 5});
-        CHECK(ports(choose_addresses(members, all, region_name("x"), domain_name("x"), random)).size() == 6);
+        CHECK(ports(choose_addresses(members, few, question("r1", "d1"), {}, random)) == std::set<int>{2, 5});
+        CHECK(ports(choose_addresses(members, all, question("x", "x"), {}, random)).size() == 6);
     }
     SUBCASE("one that stops is named only when no other is left")
     {
--- /dev/null
+++ b/tests/test_places.cpp
@@ -0,0 +1,274 @@
+/** @file test_places.cpp What a place may serve: homes, evacuations, cold backend servers. */
+#include <cornelspring/gateway.hpp>
+
+#include "dispatcher_fixture.hpp"
+
+using namespace cornelspring;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A dispatcher whose shards have a replica in the own region r ("a", domain d) and one in region q ("c", domain e). */
+struct places_fixture : dispatcher_fixture {
+    places_fixture() : dispatcher_fixture({}, nullptr)
+    {
+        for (char const* service : {"s", "g0", "g1", "g2", "g3"}) {
+            registry.remove(backend_id(std::string(service) + "b"), now);
+            add_backend(service, "c", "e");
+        }
+        places.shares().set_sharers({"self"}, "self", now - 10s);
+    }
+    /** Puts a configuration in force whose routes have @p homes and whose cold servers bear @p per_second. */
+    void configure(home_regions const& homes, double per_second = 0)
+    {
+        auto const base = config_of(++version, {"g0", "g1", "g2", "g3"});
+        auto routes = base->routes();
+        for (auto& each : routes)
+            each.homes = homes;
+        std::map<service_name, service_spec_limits> services;
+        for (char const* service : {"s", "t", "g0", "g1", "g2", "g3"})
+            services[service_name(service)] = {60, {3000ms, per_second}};
+        configs.offer(
+            std::make_shared<serving_config const>(config_version(version), routes, services, caller_limits{}));
+    }
+    /** @return ids of the servers that attempts went to. */
+    std::set<std::string> reached() const
+    {
+        std::set<std::string> found;
+        for (auto const& each : sent)
+            found.insert(each.target->entry.id.value());
+        return found;
+    }
+    int version = 0; ///< Last configuration.
+};
+
+/** @return a member of @p region. */
+gateway_member member_of(std::string const& domain, std::string const& region, int port)
+{
+    endpoint const address{"127.0.0.1", static_cast<std::uint16_t>(port)};
+    return {address, address, domain_name(domain), region_name(region), 1, false};
+}
+
+/** @return requests that all of @p vms VMs may send to the server in a second, each of which knows all of them. */
+int shared_by(int vms, std::string const& server, double bound)
+{
+    std::set<std::string> keys;
+    for (int i = 0; i < vms; ++i)
+        keys.insert("g/" + std::to_string(i));
+    int all = 0;
+    for (auto const& key : keys) {
+        warmup_shares shares;
+        shares.set_sharers(keys, key, time_point(0s));
+        all += shares.share(server, bound, time_point(10s));
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(places_fixture, "places: a request with homes reaches no server elsewhere, by no kind of attempt")
+{
+    configure({region_name("q")});
+    auto const key = start("/gather/x", "id");
+    CHECK(reached() == std::set<std::string>{"g0c", "g1c", "g2c", "g3c"});
+    end(0, attempt_end::lost);
+    end(1, attempt_end::not_executed);
+    advance(300ms); // Hedges and retries are due.
+    CHECK(reached() == std::set<std::string>{"g0c", "g1c", "g2c", "g3c"});
+    respond(2, 200, "");
+    CHECK_FALSE(answered(key));
+    start("/plain/x", "id2");
+    CHECK(reached().contains("sc"));
+    CHECK_FALSE(reached().contains("sa"));
+}
+
+TEST_CASE_FIXTURE(places_fixture, "places: with no server at home a request is refused at once, and truly not run")
+{
+    configure({region_name("nowhere")});
+    auto const query = start("/gather/x", "id");
+    auto const plain = start("/plain/x", "id2");
+    CHECK(sent.empty());
+    CHECK(answer(query).status == 503);
+    CHECK(answer(plain).status == 503);
+    CHECK(finished[0].reason == std::string("no_place"));
+    CHECK(finished[0].no_home == 4);
+}
+
+TEST_CASE_FIXTURE(places_fixture, "places: a shard without a server at home is missing, and the answer says so")
+{
+    registry.remove(backend_id("g3a"), now);
+    configure({region_name("r")});
+    auto const key = start("/gather/x", "id");
+    REQUIRE(sent.size() == 3);
+    for (std::size_t i = 0; i < 3; ++i)
+        respond(i, 200, "");
+    CHECK(answer(key).status == 200);
+    CHECK(answer(key).header("missing") == "1");
+    CHECK(finished[0].no_home >= 1);
+}
+
+TEST_CASE_FIXTURE(places_fixture, "places: an evacuated failure domain gets nothing new until it is taken back")
+{
+    configure({});
+    places.evacuated().begin(domain_name("d"), 7, now);
+    start("/gather/x", "id");
+    CHECK(reached() == std::set<std::string>{"g0c", "g1c", "g2c", "g3c"});
+    SUBCASE("what was under way there may end")
+    {
+        CHECK(places.evacuated().end(domain_name("d"), now));
+        sent.clear();
+        auto const key = start("/plain/x", "id2");
+        REQUIRE(reached() == std::set<std::string>{"sa"});
+        places.evacuated().begin(domain_name("d"), 9, now);
+        respond(0, 200, "body");
+        CHECK(answer(key).status == 200);
+    }
+    SUBCASE("a second evacuation in series leaves nothing, and callers are told at once")
+    {
+        places.evacuated().begin(domain_name("e"), 8, now);
+        auto const key = start("/plain/x", "id2");
+        CHECK(answer(key).status == 503);
+        CHECK(finished.back().evacuated == 1);
+        CHECK(places.evacuated().end(domain_name("e"), now));
+        start("/plain/y", "id3");
+        CHECK(sent.back().target->entry.id == backend_id("sc"));
+    }
+}
+
+TEST_CASE_FIXTURE(places_fixture,
+                  "places: a cold server gets no more than its pace in any second, and others take over")
+{
+    configure({}, 4); // 4 x 1.5 + 5 = 11 a second, of which 0.7 are used: 7.
+    registry.apply({backend_id("sa"), service_name("s"), {"127.0.0.1", 1}, domain_name("d"), 2, false, 3000ms}, now);
+    std::deque<time_point> cold;
+    for (int i = 0; i < 250; ++i) {
+        auto const before = sent.size();
+        start("/plain/x", "id" + std::to_string(i));
+        REQUIRE(sent.size() == before + 1);
+        if (sent.back().target->entry.id == backend_id("sa")) cold.push_back(now);
+        respond(before, 200, "body");
+        advance(10ms);
+    }
+    for (auto const begin : cold) {
+        auto const in_second =
+            std::count_if(cold.begin(), cold.end(), [&](time_point at) { return at >= begin && at < begin + 1s; });
+        CHECK(in_second <= 7);
+    }
+    CHECK(cold.size() > 7);
+}
+
+TEST_CASE_FIXTURE(places_fixture, "places: the servers of a domain whose evacuation has just ended count as cold")
+{
+    configure({region_name("r")}, 4);
+    places.evacuated().begin(domain_name("d"), 7, now);
+    advance(2000ms);
+    places.evacuated().end(domain_name("d"), now);
+    for (int i = 0; i < 20; ++i)
+        start("/plain/x", "id" + std::to_string(i));
+    CHECK(sent.size() == 7);
+    CHECK(finished.back().cold > 0);
+    advance(3100ms);
+    start("/plain/x", "last");
+    CHECK(sent.size() == 8);
+}
+
+TEST_CASE_FIXTURE(places_fixture, "places: an answer that tells how long its server stays cold is believed")
+{
+    configure({region_name("r")}, 0.1); // 5 a second, of which 3 are used.
+    start("/plain/x", "id");
+    http_response response;
+    response.headers = {{"signature", "sig"}, {"warmup", "2000"}};
+    respond(0, response);
+    for (int i = 0; i < 9; ++i)
+        start("/plain/x", "id" + std::to_string(i));
+    CHECK(sent.size() == 4);
+}
+
+TEST_CASE("places: what all VMs together send to a cold server stays within its pace")
+{
+    for (int const vms : {1, 7, 12, 87, 470}) {
+        for (double const bound : {5.0, 6.5, 17.0, 305.0}) {
+            for (int server = 0; server < 20; ++server) {
+                auto const all = shared_by(vms, "b" + std::to_string(server), bound);
+                CHECK(all <= 0.7 * bound);
+                CHECK(all >= std::floor(0.7 * bound));
+            }
+        }
+    }
+    SUBCASE("also when a third is cut off and divides by the number it knew")
+    {
+        int const cut = 30;
+        for (int server = 0; server < 20; ++server) {
+            auto const id = "b" + std::to_string(server);
+            std::set<std::string> all;
+            std::set<std::string> left;
+            for (int i = 0; i < 90; ++i) {
+                all.insert("g/" + std::to_string(i));
+                if (i >= cut) left.insert("g/" + std::to_string(i));
+            }
+            int sum = 0;
+            for (auto const& key : all) {
+                warmup_shares shares;
+                shares.set_sharers(left.contains(key) ? left : all, key, time_point(0s));
+                sum += shares.share(id, 305, time_point(10s));
+            }
+            CHECK(sum <= 305);
+        }
+    }
+    SUBCASE("a VM that is not named to callers, or has just joined, sends nothing")
+    {
+        warmup_shares shares;
+        shares.set_sharers({"a", "b"}, "c", time_point(0s));
+        CHECK(shares.share("s", 100, time_point(10s)) == 0);
+        shares.set_sharers({"a", "b", "c"}, "c", time_point(10s));
+        CHECK(shares.share("s", 100, time_point(10s)) == 0);
+        CHECK(shares.share("s", 100, time_point(12s)) > 20);
+    }
+}
+
+TEST_CASE("places: callers of a host with homes are sent to their own region or to its homes, at any size")
+{
+    std::mt19937_64 random(1);
+    for (int const vms : {7, 87, 300}) {
+        member_map members;
+        for (int i = 0; i < vms; ++i) {
+            auto const region = "r" + std::to_string(i % 3);
+            members["g/" + std::to_string(1000 + i)] = member_of("d" + std::to_string(i % 6), region, i);
+        }
+        auto const regions_named = [&](member_map const& live, std::string const& from, home_regions const& homes) {
+            std::set<std::string> found;
+            auto const active = choose_active(live, 20);
+            address_question const asked{"h", region_name(from), domain_name("none")};
+            for (auto const& address : choose_addresses(live, active, asked, homes, random))
+                found.insert("r" + std::to_string(address.port % 3));
+            return found;
+        };
+        CHECK(regions_named(members, "r0", {region_name("r1")}) == std::set<std::string>{"r0"});
+        auto without_r0 = members;
+        std::erase_if(without_r0, [](auto const& each) { return each.second.region == region_name("r0"); });
+        CHECK(regions_named(without_r0, "r0", {region_name("r1")}) == std::set<std::string>{"r1"});
+        CHECK(regions_named(without_r0, "r0", {}) == std::set<std::string>{"r1", "r2"});
+        auto only_r2 = without_r0;
+        std::erase_if(only_r2, [](auto const& each) { return each.second.region == region_name("r1"); });
+        CHECK(regions_named(only_r2, "r0", {region_name("r1")}) == std::set<std::string>{"r2"});
+    }
+}
+
+TEST_CASE("places: the homes of a host are those of all its routes, else of some")
+{
+    auto const route_of = [](std::string const& prefix, home_regions homes) {
+        route made;
+        made.host = "h";
+        made.prefix = prefix;
+        made.homes = std::move(homes);
+        return made;
+    };
+    region_name const a("a");
+    region_name const b("b");
+    auto const homes_with = [&](std::vector<route> routes) {
+        return serving_config(config_version(1), std::move(routes), {}, {}).homes_of_host("h");
+    };
+    CHECK(homes_with({route_of("/x/", {})}).empty());
+    CHECK(homes_with({route_of("/x/", {a, b}), route_of("/y/", {b}), route_of("/z/", {})}) == home_regions{b});
+    CHECK(homes_with({route_of("/x/", {a}), route_of("/y/", {b})}) == home_regions{a, b});
+}
