--- a/src/trace/trace.cpp
+++ b/src/trace/trace.cpp
@@ -88,6 +88,11 @@
     if (reason == "no_route") return "refused: no route of the configuration in force matches";
     if (reason == "no_time") return "refused: the caller left too little time";
     if (reason == "overloaded") return "refused: queries queue at the backend servers (admission bound)";
+    if (reason == "no_place") {
+        if (request.value("no_home", 0) > 0) return "refused: no backend server is left in the route's home regions";
+        if (request.value("evacuated", 0) > 0) return "refused: the backend servers left are in an evacuated domain";
+        return "refused: the backend servers left are cold and have got their share";
+    }
     if (reason == "no_room") return "refused: too few shards have a backend server with room";
     if (reason == "quarantined") return "refused: the request has crashed backend servers";
     if (reason == "on_trial") return "refused: the request is being tried at one backend server, after others crashed";
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -198,6 +198,26 @@
     CHECK(fleet.ask(1, "/q/a", "id-3").status == 0);
 }
 
+TEST_CASE("a gateway that was killed is named no longer than its registration lives")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.start_gateway(2);
+    fleet.start_gateway(3, "d2");
+    auto const named_by = [](int asked) {
+        return gateway_fleet::get(gateway_fleet::address(asked, "directory"),
+                                  "/cornelspring/resolve?name=h.example&region=r-d1&zone=d1")
+            .body;
+    };
+    auto const dead = gateway_fleet::address(2, "frontend").to_string();
+    REQUIRE(within_ten_seconds([&] { return named_by(1).find(dead) != std::string::npos; }));
+    REQUIRE(within_ten_seconds([&] { return named_by(3).find(dead) != std::string::npos; }));
+    fleet.processes.stop("gw-2", SIGKILL);
+    std::this_thread::sleep_for(7500ms); // The lease of 6 s, and the way of its end over the feed.
+    for (int const asked : {1, 3})
+        CHECK(named_by(asked).find(dead) == std::string::npos);
+}
+
 TEST_CASE("through a store outage gateways serve on, and learn what changed after it")
 {
     gateway_fleet fleet;
