--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,12 @@
 CONFIG_S = 3.0  # A configuration is in force everywhere after this.
 KNOWN_S = 5.0  # A request that has crashed three servers is known to all gateways after this,
 REPEATS = 3  # and reaches servers in so many repetitions at most from then on.
+EVACUATE_S = 3.0  # An evacuated failure domain gets nothing new after this.
+HOME = "d1"  # Failure domain whose region alone may serve the route with homes.
+COLD_S = 3.0  # A cold backend server stays so for this,
+COLD_PER_S = 4  # bears so many requests a second,
+COLD_BOUND = COLD_PER_S * 1.5 + 5  # gets so many at most from all gateways,
+TOLD_S = 1.0  # once they have heard of it.
 SETTLE_S = 12.0  # After the last fault everything works again within this.
 
 
@@ -107,6 +113,7 @@
         self.outcomes = {}  # id of a write -> status or "cut"
         self.cuts = []  # (id, gateway, time): a connection that ended without an answer
         self.drained = {}  # backend -> time it was drained
+        self.cold = set()  # backends that say that they are cold
         self.net = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}."
 
     def violation(self, text):
@@ -141,7 +148,7 @@
             "limits": {"cpu_share": 1.0, "cores": 1},
             "platform": {"address": f"127.0.0.1:{self.proxies['store'].port}"},
             "bounds": {"retry_ratio": 0.2, "retry_slack": 200, "retry_window_s": 10, "grace_s": 3, "drain_ms": 3000,
-                       "config_apply_ms": 3000, "ttl_max_s": 5}}
+                       "config_apply_ms": 3000, "ttl_max_s": 5, "warmup_over": 1.5, "warmup_slack": 5}}
         path = self.folder / f"gw-{number}.json"
         path.write_text(json.dumps(settings))
         self.spawn(f"gw-{number}", "cornel-gateway", "--set", f'platform_settings="{path}"')
@@ -154,9 +161,12 @@
         base = {"hostname": HOST, "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2}
         routes = [{**base, "name": "q", "prefix": "/q/", "route_type": "idempotent", "gather": shards, "top_k": 4,
                    "min_coverage": 0.5},
+                  {**base, "name": "h", "prefix": "/h/", "route_type": "idempotent", "gather": shards, "top_k": 4,
+                   "min_coverage": 0.5, "home_regions": [f"r-{HOME}"]},
                   {**base, "name": "r", "prefix": "/r/", "route_type": "idempotent", "service": "s"},
                   {**base, "name": "w", "prefix": "/w/", "route_type": "non_idempotent", "service": "s"}]
-        services = [{"name": name, "health_path": "/health", "max_conns": 60} for name in [*SHARDS, "s"]]
+        services = [{"name": name, "health_path": "/health", "max_conns": 60, "warmup_s": COLD_S,
+                     "warmup_per_s": COLD_PER_S} for name in [*SHARDS, "s"]]
         config = {"version": self.config_version, "routes": routes, "services": services,
                   "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 2000,
                              "idle_timeout_ms": 5000}}
@@ -210,7 +220,7 @@
             await asyncio.sleep(draw.expovariate(15))
             count += 1
             request_id = f"c{number}-{count}"
-            kind = draw.choice("qqrw")
+            kind = draw.choice("qqrwh")
             method, body = ("POST", f"entry {request_id}") if kind == "w" else ("GET", "")
             request = (f"{method} /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\nDeadline: 1500\r\n"
                        f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
@@ -240,7 +250,7 @@
             self.outcomes[request_id] = status
         if status != 200:
             return
-        if kind == "q":
+        if kind in "qh":
             self.check_query(request_id, headers, body)
         elif not headers.get("server-stamp", "").endswith("." + request_id):
             self.violation(f"{request_id}: an answer of another request: {headers.get('server-stamp')}")
@@ -332,7 +342,7 @@
         await self.configure(self.random.sample(SHARDS, self.random.randint(3, len(SHARDS))))
 
     async def drain_backend(self):
-        name = self.random.choice([each for each in self.entries if each not in self.drained])
+        name = self.random.choice([each for each in self.entries if each not in {*self.drained, *self.cold}])
         await self.store("put", {"key": f"servers/{name}", "value": {**self.entries[name], "state": "draining"}})
         at = time.monotonic()
         self.drained[name] = at
@@ -345,6 +355,47 @@
         await self.store("put", {"key": f"servers/{name}", "value": self.entries[name]})
         del self.drained[name]
 
+    def calm_since(self, at):
+        """Whether no fault has touched the store or a gateway since @p at."""
+        return all(self.disturbed.get(name, 0) < at for name in ["store", *(f"gw-{n}" for n in range(1, 99))])
+
+    async def evacuate(self):
+        """One failure domain at a time gets nothing new, until it is taken back."""
+        if self.evacuation_runs:
+            return
+        self.evacuation_runs = True
+        domain = self.random.choice(["d1", "d2"])
+        await self.store("put", {"key": f"op/evacuate/{domain}", "value": {}})
+        at = time.monotonic()
+        await asyncio.sleep(EVACUATE_S + 3)
+        _, journal = await call(self.backends_port, "POST", "/journal", {})
+        late = [e["id"] for e in journal
+                if self.entries[e["backend"]]["zone"] == domain and e["at_ms"] / 1000 > at + EVACUATE_S]
+        if late and self.calm_since(at):
+            self.violation(f"{domain}, evacuated at {at - self.begun:.3f}, got {len(late)} requests after {EVACUATE_S} s")
+        await self.store("drop", {"key": f"op/evacuate/{domain}"})
+        self.stats["evacuations"] += 1
+        self.evacuation_runs = False
+
+    async def become_cold(self):
+        """One backend server says that it is cold; its pace is kept by all gateways together."""
+        name = self.random.choice([each for each in self.entries if each not in self.drained])
+        if name in self.cold:
+            return
+        self.cold.add(name)
+        await self.store("put", {"key": f"servers/{name}", "value": {**self.entries[name], "warmup_left_ms": COLD_S * 1000}})
+        at = time.monotonic()
+        await asyncio.sleep(COLD_S)
+        _, journal = await call(self.backends_port, "POST", "/journal", {})
+        times = sorted(e["at_ms"] / 1000 for e in journal if e["backend"] == name)
+        times = [each for each in times if at + TOLD_S < each < at + COLD_S]
+        most = max((sum(begin <= each < begin + 1 for each in times) for begin in times), default=0)
+        if most > COLD_BOUND and self.calm_since(at):
+            self.violation(f"{name}, cold since {at - self.begun:.3f}, got {most} requests in one second")
+        await self.store("put", {"key": f"servers/{name}", "value": self.entries[name]})
+        self.stats["cold servers"] += 1
+        self.cold.discard(name)
+
     async def crash_with_query(self):
         """One query crashes each server that runs it, and comes again at any gateway."""
         if self.crash_query_runs:
@@ -389,7 +440,7 @@
         """Starts faults at random times; they overlap."""
         kinds = [lambda: self.fault_proxy("store"), lambda: self.fault_proxy(self.random.choice(list(self.entries))),
                  self.fault_gateway, self.fault_gateway, self.fault_backend, self.fault_backend, self.fault_store,
-                 self.change_config, self.drain_backend, self.crash_with_query]
+                 self.change_config, self.drain_backend, self.crash_with_query, self.evacuate, self.become_cold]
         running, until = [], time.monotonic() + self.seconds
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(1.2))
@@ -421,6 +472,9 @@
         for entry in journal:
             reached[entry["id"]] += 1
             runs[entry["id"]] += 1 if entry["ran"] else 0
+        away = {e["id"] for e in journal if e["line"] == "GET /h/x" and self.entries[e["backend"]]["zone"] != HOME}
+        if away:
+            self.violation(f"{len(away)} requests with homes reached servers elsewhere: {sorted(away)[:5]}")
         for request_id, outcome in self.outcomes.items():
             if runs[request_id] > 1:
                 self.violation(f"{request_id} ran {runs[request_id]} times")
@@ -436,6 +490,7 @@
 
     async def run(self):
         self.stop_callers, self.crash_query_runs, self.restarting = False, False, set()
+        self.evacuation_runs = False
         try:
             await self.begin()
             callers = [asyncio.create_task(self.caller(number)) for number in range(12)]
