--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -188,9 +188,28 @@
     double return_from = 0.08;  ///< Callers refused for load come back after this share of their time,
     double return_to = 0.3;     ///< at the latest after this one; they wait a third of it at most.
     bool admission = true;      ///< Bound the open requests.
+    bool by_rank = true;        ///< Urgent queries are let in first.
+    bool returning_last = true; ///< Callers that come again are let in last.
+    bool hedging = true;        ///< Slow shards get a second attempt.
+    bool hedge_pause = true;    ///< One that comes up late waits until arrived answers are read.
+    bool hedge_check = true;    ///< While queries queue, it goes only where it gains.
+    bool early_answer = true;   ///< Answers leave before the goal with what is there.
     bool by_coverage = true;    ///< Admission goes by the shards that decide too, see coverable_share().
 };
 
+/** A mechanism that can be switched off, to measure what it is worth. */
+struct experiment {
+    std::string name;                                    ///< Name in settings.
+    std::string help;                                    ///< What it does.
+    std::function<void(dispatcher_options&)> switch_off; ///< Switches it off.
+};
+/** @return all of them. */
+std::vector<experiment> const& experiments();
+/** @return their names and what they do, for a setting's help. */
+std::string experiments_help();
+/** Switches one off. @param options where. @param mechanism its name. @throw error bad_settings when there is none. */
+void switch_off(dispatcher_options& options, std::string const& mechanism);
+
 /** Recent times of one kind. */
 class time_window {
 public:
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -332,6 +332,8 @@
     double other_domain_ms = 2;              ///< Added at another failure domain of the region.
     double cold_factor = 1.6;                ///< Slowdown of a backend server that has just started.
     double failure_weight = 5;               ///< Weight of the recent failure rate.
+    bool by_wait = true;                     ///< By expected wait; else by distance alone.
+    bool suspicion = true;                   ///< Those that failed or stalled are avoided for a while.
     milliseconds draining_last_resort{1000}; ///< A draining one may still be used so long when none else is left.
 };
 
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -130,7 +130,7 @@
     auto const of_goal = std::chrono::duration_cast<clock::duration>(options.answer_margin_share * request.via->goal);
     auto const margin = std::max(fixed, of_goal);
     if (spent + margin >= request.via->goal) spent = clock::duration(0);
-    request.answer_by = request.arrived + request.via->goal - margin - spent;
+    request.answer_by = options.early_answer ? request.arrived + request.via->goal - margin - spent : request.deadline;
     request.summary.spent = std::chrono::duration_cast<milliseconds>(spent);
     return request.deadline > request.arrived;
 }
@@ -262,10 +262,10 @@
     admission_request asked;
     asked.goal = request.via->goal;
     asked.begun = request.arrived;
-    asked.returning = request.returning;
+    asked.returning = options.returning_last && request.returning;
     if (options.by_coverage) asked.most_share = coverable(request, now);
     request.summary.coverable_share = asked.most_share;
-    asked.most_urgent = request.via->most_urgent;
+    asked.most_urgent = !options.by_rank || request.via->most_urgent;
     auto const decision = control.admit(asked, std::uniform_real_distribution<double>(0, 1)(random), now);
     request.summary.wait_ms = decision.wait_ms;
     request.summary.admitted_share = decision.share;
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -97,7 +97,7 @@
                                   time_point now) const
 {
     bool const repeatable = request.via->kind == route_kind::idempotent;
-    bool const may_hedge = repeatable && !request.cautious && shard.runs < request.via->attempts;
+    bool const may_hedge = options.hedging && repeatable && !request.cautious && shard.runs < request.via->attempts;
     shard.hedge_postponed = false;
     shard.hedge_at = may_hedge ? now + hedge_delay(request, where) : time_point::max();
 }
@@ -175,7 +175,7 @@
 bool dispatcher::impl::hedge_gains(request_state const& request, shard_state const& shard, selection const& other,
                                    time_point now) const
 {
-    if (!queued(request, now)) return true;
+    if (!options.hedge_check || !queued(request, now)) return true;
     clock::duration longest{0};
     for (auto const id : shard.open)
         longest = std::max(longest, now - attempts.at(id.value()).sent);
@@ -186,8 +186,9 @@
  * A process that is behind has answers that it has not read yet, and timers come first. A small VM
  * would ask every shard of a query twice so, which puts it further behind.
  */
-bool dispatcher::impl::postpone_hedge(shard_state& shard, time_point now)
+bool dispatcher::impl::postpone_hedge(shard_state& shard, time_point now) const
 {
+    if (!options.hedge_pause) return false;
     if (shard.hedge_postponed || now < shard.hedge_at + hedge_lateness) return false;
     shard.hedge_postponed = true;
     shard.hedge_at = now + read_pass;
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -147,7 +147,7 @@
     bool hedge_gains(request_state const& request, shard_state const& shard, selection const& other,
                      time_point now) const;
     /** @return whether a second attempt that comes up late waits until what has arrived meanwhile is read. */
-    static bool postpone_hedge(shard_state& shard, time_point now);
+    bool postpone_hedge(shard_state& shard, time_point now) const;
     /** Sends a second attempt of a slow shard, when budget and replicas allow. */
     void hedge(request_state& request, std::size_t index, time_point now);
     /** Sends a further attempt of a shard whose attempts all failed, or gives it up. */
--- a/src/emulator/deployment_file.cpp
+++ b/src/emulator/deployment_file.cpp
@@ -99,7 +99,7 @@
 {
     auto const table = toml_to_json(toml_text, source, error_kind::bad_settings);
     emulated_deployment made;
-    std::set<std::string> known{"kind", "fault", "admission", "by_coverage"};
+    std::set<std::string> known{"kind", "fault", "without"};
     int seed = 1;
     read_numbers<int>(table,
                       {{"vms", &made.vms, 1, 500},
@@ -124,8 +124,8 @@
                          known);
     refuse_unknown(table, known, source);
     made.seed = static_cast<std::uint64_t>(seed);
-    made.options.admission = table.value("admission", true);
-    made.options.by_coverage = table.value("by_coverage", true);
+    for (auto const& mechanism : table.value("without", json::array()))
+        switch_off(made.options, mechanism.get<std::string>());
     for (auto const& kind : table.value("kind", json::array()))
         made.kinds.push_back(parse_kind(kind));
     for (auto const& fault : table.value("fault", json::array()))
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -233,7 +233,8 @@
 double expected_wait_ms(backend_server const& server, double usual, selection_options const& options, time_point now)
 {
     double const slots = std::max(1, server.entry.slots);
-    double wait = server.load.latency_ms(usual, now) * (1.0 + server.load.in_flight() / slots);
+    double wait =
+        options.by_wait ? server.load.latency_ms(usual, now) * (1.0 + server.load.in_flight() / slots) : usual;
     if (now < server.place.cold_until) wait *= options.cold_factor;
     wait *= 1.0 + options.failure_weight * server.load.failure_rate();
     if (server.where == proximity::other_region) return wait + options.other_region_ms;
@@ -318,7 +319,8 @@
         any = true;
         if (server->load.in_flight() >= room) continue;
         candidate const made{server, expected_wait_ms(*server, group.usual_latency_ms, scope.options, now)};
-        (use == usability::last_resort ? leaving : server->load.suspect(now) ? suspect : good).push_back(made);
+        bool const avoided = scope.options.suspicion && server->load.suspect(now);
+        (use == usability::last_resort ? leaving : avoided ? suspect : good).push_back(made);
     }
     for (auto const* group_of : {&good, &suspect, &leaving}) {
         auto const [target, wait_ms] = pick_near_lowest(*group_of, random);
