What a caller had spent before it asked is known from the first request on

Cause: a gateway learned how long callers wait from a quantile that it took anew after 16 requests only, and that of few requests was the shortest; with a query a second of each route that is the first 8 to 12 s. In the first seconds all callers have looked up an address, so none shows its whole time. Change: of fewer than 32 requests the longest time counts, taken anew for each, and the route's timeout where it is longer by less than half a goal.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -225,6 +225,8 @@
     explicit time_window(sizes of) : m_sizes(of) {}
     /** Adds one observation. @param time observed time. */
     void add(std::chrono::microseconds time);
+    /** @return observations in the window. */
+    std::size_t count() const { return m_samples.size(); }
     /** @return the @p quantile of the window, or nothing before enough samples. @param quantile 0 to 1. */
     std::optional<std::chrono::microseconds> quantile(double quantile);
 
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -18,8 +18,13 @@
  *  there again. */
 constexpr double starting_retry_after_most_s = 1.0;
 
-/** Window of the times that callers of a route still wait; it answers from the first one on. */
-constexpr time_window::sizes deadline_window{256, 1, 16};
+/** Window of the times that callers of a route still wait; it answers from the first one on, and anew for each: a VM
+ * that sees one query a second must not believe its first caller for many seconds. */
+constexpr time_window::sizes deadline_window{256, 1, 1};
+/** So many requests show how long callers of a route wait; of fewer the longest counts, and the route's own timeout, */
+constexpr std::size_t deadline_samples = 32;
+/** where it is longer by less than this share of the goal: callers that have looked up an address are that close. */
+constexpr double configured_near_share = 0.5;
 /** Quantile of these that counts as the time that callers wait at first. Most requests
  *  have all of it left; fewer than one in twenty that wait longer than the rest do not count. */
 constexpr double full_deadline_quantile = 0.95;
@@ -139,14 +144,20 @@
  * Callers of one route wait equally long, and a request says how long its caller still waits. What is missing to the
  * usual longest time has gone: the caller looked up an address, which takes several round trips, connected, or tried
  * before. It counts for the goal too: with one margin for all, the answers to callers that had looked up an address
- * come late. A few callers that wait longer than the rest change nothing.
+ * come late. A few callers that wait longer than the rest change nothing. In the first seconds all callers have looked
+ * up an address, so that none shows its whole time; operators set a route's timeout to what its callers wait.
  */
 milliseconds dispatcher::impl::full_deadline(request_state const& request, milliseconds asked)
 {
     auto& recent = deadlines.try_emplace(request.via->name, deadline_window).first->second;
     recent.add(asked);
-    auto const usual = recent.quantile(full_deadline_quantile);
-    return usual ? std::max(std::chrono::duration_cast<milliseconds>(*usual), asked) : asked;
+    bool const few = recent.count() < deadline_samples;
+    auto const usual = recent.quantile(few ? 1.0 : full_deadline_quantile);
+    auto const seen = usual ? std::max(std::chrono::duration_cast<milliseconds>(*usual), asked) : asked;
+    if (!few) return seen;
+    auto const configured = request.via->timeout;
+    bool const near = configured - seen < configured_near_share * request.via->goal;
+    return near ? std::max(configured, seen) : seen;
 }
 
 /** Smooth weighted round robin: shares follow the weights exactly, also over few requests. */
--- a/tests/test_caller_time.cpp
+++ b/tests/test_caller_time.cpp
@@ -62,6 +62,27 @@
     CHECK(answered_after(fleet, "late", waiting("786")) == goal - margin - 14ms);
 }
 
+TEST_CASE("caller time: the second caller of a VM that sees few shows what the first one had spent")
+{
+    dispatcher_fixture fleet;
+    answered_after(fleet, "id1", waiting("786"));
+    CHECK(answered_after(fleet, "id2", waiting("800")) == goal - margin);
+    CHECK(answered_after(fleet, "id3", waiting("786")) == goal - margin - 14ms);
+}
+
+TEST_CASE("caller time: first callers have all looked up an address, and the route's timeout tells what they had")
+{
+    dispatcher_fixture fleet; // Its routes have a timeout of one second.
+    CHECK(answered_after(fleet, "id1", waiting("978")) == goal - margin - 22ms);
+    CHECK(answered_after(fleet, "id2", waiting("1000")) == goal - margin);
+    SUBCASE("callers that wait for less than the timeout are believed once enough of them were seen")
+    {
+        for (int i = 0; i < 40; ++i)
+            answered_after(fleet, "many" + std::to_string(i), waiting("950"));
+        CHECK(answered_after(fleet, "late", waiting("950")) == goal - margin);
+    }
+}
+
 TEST_CASE("caller time: without a deadline nothing is assumed to have gone")
 {
     dispatcher_fixture fleet;
