Kept connections to backend servers live for 15 s in place of 2 s

What callers lose: a second attempt goes to a server of another region that this VM last asked some seconds ago. After 2 s its connection was closed, so that the attempt paid a handshake and two more ways (30 ms here) of the 100 or 150 ms that the caller has, and often came back too late to count. Cost: the connections of VMs that lost power stay as before until the server closes them; what a VM may use at once is bounded as before.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -88,7 +88,7 @@
 struct pool_options {
     header_names names;              ///< Header names.
     milliseconds connect_limit{600}; ///< Longest connect: two round trips between regions and a slow accept.
-    milliseconds idle_limit{2000};   ///< Kept connections idle this long are closed: see connection_share.
+    milliseconds idle_limit{15000};  ///< Kept connections idle this long are closed: see connection_share.
     milliseconds fresh_enough{250};  ///< A kept connection idle longer may be dead: not for what must not repeat.
     message_limits response_limits{32768, 8 << 20}; ///< Limits on responses.
 };
