--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -198,8 +198,7 @@
  * @return addresses, in random order.
  */
 std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
-                                       address_question const& asked, home_regions const& homes,
-                                       std::mt19937_64& random);
+                                       address_question const& asked, region_set const& homes, std::mt19937_64& random);
 
 /** Settings of a gateway process. */
 struct gateway_settings {
--- a/include/cornelspring/places.hpp
+++ b/include/cornelspring/places.hpp
@@ -21,10 +21,10 @@
 /** Name of a region: failure domains near each other. */
 using region_name = strong_id<struct region_name_tag, std::string>;
 /** Regions in which a request may be served; empty: everywhere. */
-using home_regions = std::set<region_name>;
+using region_set = std::set<region_name>;
 
 /** @return whether a request with @p homes may be served in @p region. @param homes its homes. @param region where. */
-inline bool at_home(home_regions const& homes, region_name const& region)
+inline bool at_home(region_set const& homes, region_name const& region)
 {
     return homes.empty() || homes.contains(region);
 }
@@ -133,7 +133,7 @@
 
 /** What a request brings along. */
 struct place_demand {
-    home_regions const& homes; ///< Where it may be served.
+    region_set const& homes;   ///< Where it may be served.
     warmup_spec const& warmup; ///< Cold backend servers of the service.
 };
 
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -78,7 +78,7 @@
     int priority = 0;                         ///< Rank; 0 is the highest.
     bool most_urgent = true;                  ///< No other route over the same shards ranks higher; by serving_config.
     int attempts = 1;                         ///< Most backend servers one request (of one shard) may run on.
-    home_regions homes;                       ///< Regions that may serve it; empty: all.
+    region_set homes;                         ///< Regions that may serve it; empty: all.
     std::vector<split_part> split;            ///< Services that share the requests; one for a plain route.
     std::optional<gather_spec> gather;        ///< Set for a route over shards; split is then empty.
 };
@@ -115,7 +115,7 @@
     warmup_spec const& warmup(service_name const& service) const;
     /** @return the regions that may serve all routes of @p host, else those that may serve some; empty: all regions.
      *  @param host host. */
-    home_regions homes_of_host(std::string const& host) const;
+    region_set homes_of_host(std::string const& host) const;
     /** @return the lowest connection limit among the services over which routes gather; 0 when none does. */
     int fewest_connections() const { return m_fewest_connections; }
     /**
--- a/src/dispatch/connection_plan.cpp
+++ b/src/dispatch/connection_plan.cpp
@@ -10,7 +10,7 @@
                  std::function<bool(std::shared_ptr<backend_server> const&)> const& connected, std::mt19937_64& random,
                  time_point now)
 {
-    std::map<service_name, home_regions const*> services;
+    std::map<service_name, region_set const*> services;
     for (auto const& via : config.routes()) {
         if (!via.gather) continue;
         for (auto const& shard : via.gather->shards)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,7 +118,7 @@
 http_response gateway::impl::addresses(std::string const& target)
 {
     auto const asked = settings.decode_question(target);
-    auto const homes = configs.current() ? configs.current()->homes_of_host(asked.host) : home_regions{};
+    auto const homes = configs.current() ? configs.current()->homes_of_host(asked.host) : region_set{};
     auto chosen = choose_addresses(members, active, asked, homes, random);
     // Before a gateway hears of any registration, its own included, it knows one that serves: itself.
     if (chosen.empty() && ready() && settings.caller_address) chosen.push_back(*settings.caller_address);
--- /dev/null
+++ b/src/routing/replica_choice.cpp
@@ -0,0 +1,139 @@
+/** @file replica_choice.cpp Choice of a backend server among the replicas of a service. */
+#include <cornelspring/routing.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+
+char const* to_string(selection_miss miss)
+{
+    switch (miss) {
+    case selection_miss::none: return "none";
+    case selection_miss::no_backend: return "no_backend";
+    case selection_miss::away: return "away";
+    case selection_miss::evacuated: return "evacuated";
+    case selection_miss::cold: return "cold";
+    case selection_miss::no_room: return "no_room";
+    case selection_miss::no_budget: return "no_budget";
+    case selection_miss::no_gain: return "no_gain";
+    }
+    return "unknown";
+}
+
+namespace {
+
+/** Expected waits within this factor of the lowest count as equal, so that VMs do not all pick the same one. */
+constexpr double near_factor = 1.15;
+
+/** Whether a backend server may get work. */
+enum class usability { normal, last_resort, none };
+
+/** @return whether @p server may get work at @p now. */
+usability usable(backend_server const& server, selection_options const& options, time_point now)
+{
+    if (server.gone) return usability::none;
+    if (!server.draining_since) return usability::normal;
+    return now < *server.draining_since + options.draining_last_resort ? usability::last_resort : usability::none;
+}
+
+/** @return the expected wait at @p server in milliseconds. */
+double expected_wait_ms(backend_server const& server, double usual, selection_options const& options, time_point now)
+{
+    double const slots = std::max(1, server.entry.slots);
+    double wait =
+        options.by_wait ? server.load.latency_ms(usual, now) * (1.0 + server.load.in_flight() / slots) : usual;
+    if (now < server.place.cold_until) wait *= options.cold_factor;
+    wait *= 1.0 + options.failure_weight * server.load.failure_rate();
+    if (server.where == proximity::other_region) return wait + options.other_region_ms;
+    if (server.where == proximity::same_region) return wait + options.other_domain_ms;
+    return wait;
+}
+
+/** A candidate of a choice. */
+struct candidate {
+    std::shared_ptr<backend_server> server; ///< Backend server.
+    double wait_ms = 0;                     ///< Expected wait.
+};
+
+/** @return one of the candidates with nearly the lowest wait; its server is null when there is none. */
+candidate pick_near_lowest(std::vector<candidate> const& candidates, std::mt19937_64& random)
+{
+    if (candidates.empty()) return {};
+    double lowest = candidates.front().wait_ms;
+    for (auto const& each : candidates)
+        lowest = std::min(lowest, each.wait_ms);
+    std::size_t near = 0;
+    candidate const* chosen = nullptr;
+    for (auto const& each : candidates) {
+        if (each.wait_ms > lowest * near_factor) continue;
+        if (random() % ++near == 0) chosen = &each; // Reservoir sampling: each is equally likely.
+    }
+    return *chosen;
+}
+
+} // namespace
+
+namespace {
+
+/** Why no candidate is left: the rule that will give way first, as callers are told when to come back. */
+class miss_reason {
+public:
+    /** A backend server was left out for a rule on places. */
+    void add(place_refusal refusal)
+    {
+        if (refusal == place_refusal::away && m_miss == selection_miss::no_backend) m_miss = selection_miss::away;
+        if (refusal == place_refusal::evacuated && m_miss != selection_miss::cold) m_miss = selection_miss::evacuated;
+        if (refusal == place_refusal::cold) m_miss = selection_miss::cold;
+    }
+    /** @return the reason. */
+    selection_miss value() const { return m_miss; }
+
+private:
+    selection_miss m_miss = selection_miss::no_backend; ///< So far.
+};
+
+} // namespace
+
+selection_miss why_no_work(service_group const& group, selection_scope const& scope, time_point now)
+{
+    miss_reason reason;
+    for (auto const& server : group.backends) {
+        if (usable(*server, scope.options, now) == usability::none) continue;
+        auto const refused = scope.places.refusal(server->place, scope.asked, now);
+        if (refused == place_refusal::none) return selection_miss::none;
+        reason.add(refused);
+    }
+    return reason.value();
+}
+
+selection choose_backend(service_group const& group, std::vector<backend_id> const& tried, int room,
+                         selection_scope const& scope, std::mt19937_64& random, time_point now)
+{
+    std::vector<candidate> good;
+    std::vector<candidate> suspect;
+    std::vector<candidate> leaving;
+    bool any = false;
+    miss_reason reason;
+    for (auto const& server : group.backends) {
+        if (std::find(tried.begin(), tried.end(), server->entry.id) != tried.end()) continue;
+        auto const use = usable(*server, scope.options, now);
+        if (use == usability::none) continue;
+        if (auto const refused = scope.places.refusal(server->place, scope.asked, now);
+            refused != place_refusal::none) {
+            reason.add(refused);
+            continue;
+        }
+        any = true;
+        if (server->load.in_flight() >= room) continue;
+        candidate const made{server, expected_wait_ms(*server, group.usual_latency_ms, scope.options, now)};
+        bool const avoided = scope.options.suspicion && server->load.suspect(now);
+        (use == usability::last_resort ? leaving : avoided ? suspect : good).push_back(made);
+    }
+    for (auto const* group_of : {&good, &suspect, &leaving}) {
+        auto const [target, wait_ms] = pick_near_lowest(*group_of, random);
+        if (target) return {target, selection_miss::none, group_of != &good, wait_ms};
+    }
+    return {nullptr, any ? selection_miss::no_room : reason.value(), false, 0};
+}
+
+} // namespace cornelspring
--- a/src/routing/serving_config.cpp
+++ b/src/routing/serving_config.cpp
@@ -56,10 +56,10 @@
     return found == m_services.end() ? unbounded : found->second.warmup;
 }
 
-home_regions serving_config::homes_of_host(std::string const& host) const
+region_set serving_config::homes_of_host(std::string const& host) const
 {
-    home_regions some;
-    std::optional<home_regions> all;
+    region_set some;
+    std::optional<region_set> all;
     for (auto const& each : m_routes) {
         if (each.host != host || each.homes.empty()) continue;
         some.insert(each.homes.begin(), each.homes.end());
--- a/tests/test_places.cpp
+++ b/tests/test_places.cpp
@@ -19,7 +19,7 @@
         places.shares().set_sharers({"self"}, "self", now - 10s);
     }
     /** Puts a configuration in force whose routes have @p homes and whose cold servers bear @p per_second. */
-    void configure(home_regions const& homes, double per_second = 0)
+    void configure(region_set const& homes, double per_second = 0)
     {
         auto const base = config_of(++version, {"g0", "g1", "g2", "g3"});
         auto routes = base->routes();
@@ -235,7 +235,7 @@
             auto const region = "r" + std::to_string(i % 3);
             members["g/" + std::to_string(1000 + i)] = member_of("d" + std::to_string(i % 6), region, i);
         }
-        auto const regions_named = [&](member_map const& live, std::string const& from, home_regions const& homes) {
+        auto const regions_named = [&](member_map const& live, std::string const& from, region_set const& homes) {
             std::set<std::string> found;
             auto const active = choose_active(live, 20);
             address_question const asked{"h", region_name(from), domain_name("none")};
@@ -256,7 +256,7 @@
 
 TEST_CASE("places: the homes of a host are those of all its routes, else of some")
 {
-    auto const route_of = [](std::string const& prefix, home_regions homes) {
+    auto const route_of = [](std::string const& prefix, region_set homes) {
         route made;
         made.host = "h";
         made.prefix = prefix;
@@ -269,6 +269,6 @@
         return serving_config(config_version(1), std::move(routes), {}, {}).homes_of_host("h");
     };
     CHECK(homes_with({route_of("/x/", {})}).empty());
-    CHECK(homes_with({route_of("/x/", {a, b}), route_of("/y/", {b}), route_of("/z/", {})}) == home_regions{b});
-    CHECK(homes_with({route_of("/x/", {a}), route_of("/y/", {b})}) == home_regions{a, b});
+    CHECK(homes_with({route_of("/x/", {a, b}), route_of("/y/", {b}), route_of("/z/", {})}) == region_set{b});
+    CHECK(homes_with({route_of("/x/", {a}), route_of("/y/", {b})}) == region_set{a, b});
 }
