Connections ahead go to the servers that some route over the shards may reach, not only the first route

Cause: of several routes over the same shards the first one's homes decided where connections are opened ahead; those of a route served elsewhere were opened with its first query only. Change: a server is planned when any route over its shard may reach it. The test of two routes with different homes fails before (one server planned of nine).

--- a/src/dispatch/connection_plan.cpp
+++ b/src/dispatch/connection_plan.cpp
@@ -10,18 +10,24 @@
                  std::function<bool(std::shared_ptr<backend_server> const&)> const& connected, std::mt19937_64& random,
                  time_point now)
 {
-    std::map<service_name, region_set const*> services;
+    // Routes over the same shards may have different homes.
+    std::map<service_name, std::set<region_set>> services;
     for (auto const& via : config.routes()) {
         if (!via.gather) continue;
         for (auto const& shard : via.gather->shards)
-            services.emplace(shard, &via.homes);
+            services[shard].insert(via.homes);
     }
     std::vector<std::shared_ptr<backend_server>> missing;
-    for (auto const& [service, homes] : services) {
-        place_demand const asked{*homes, config.warmup(service)};
+    for (auto const& [service, all_homes] : services) {
+        auto const reachable = [&, &service = service, &all_homes = all_homes](backend_server const& server) {
+            return std::any_of(all_homes.begin(), all_homes.end(), [&](region_set const& homes) {
+                place_demand const asked{homes, config.warmup(service)};
+                return places.refusal(server.place, asked, now) == place_refusal::none;
+            });
+        };
         for (auto const& server : registry.group(service).backends) {
-            bool const wanted = !server->gone && !server->draining_since && !server->load.suspect(now) &&
-                                places.refusal(server->place, asked, now) == place_refusal::none;
+            bool const wanted =
+                !server->gone && !server->draining_since && !server->load.suspect(now) && reachable(*server);
             if (wanted && server->load.in_flight() == 0 && !connected(server)) missing.push_back(server);
         }
     }
--- a/tests/test_connection_plan.cpp
+++ b/tests/test_connection_plan.cpp
@@ -39,6 +39,25 @@
     CHECK(planned({"g0a", "g1b"}).size() == 7);
 }
 
+TEST_CASE_FIXTURE(plan_fixture, "connections ahead: to the servers that some route over the shards may reach")
+{
+    auto const with_homes = [this](int version, region_set const& first, region_set const& second) {
+        auto routes = configs.current()->routes();
+        std::erase_if(routes, [](route const& each) { return !each.gather; });
+        routes.resize(1);
+        routes.push_back(routes.front());
+        routes[0].homes = first;
+        routes[1].homes = second;
+        routes[1].prefix = "/other/";
+        configs.offer(std::make_shared<serving_config const>(
+            config_version(version), routes, std::map<service_name, service_spec_limits>{}, caller_limits{}));
+    };
+    with_homes(2, {region_name("q")}, {region_name("q")});
+    CHECK(planned() == std::vector<std::string>{"g0c"});
+    with_homes(3, {region_name("q")}, {region_name("r")});
+    CHECK(planned().size() == 9);
+}
+
 TEST_CASE_FIXTURE(plan_fixture, "connections ahead: none to servers that get no requests")
 {
     REQUIRE(plans("g0a"));
