Review: what a service says of cold servers is looked up once for each shard of a request

Cause: each choice of a server, and each sending, looked the service's cold pace up by name in a map of all services, three times for each of 90 shards of a query. Change: the shard keeps the reference, which its pinned configuration holds alive. Two adjacent unnamed namespaces became one. No decision changes: unit tests pass unchanged. Processor time not measured.

--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -182,6 +182,7 @@
     auto const add = [&](service_name const& service) {
         shard_state shard;
         shard.group = &registry.group(service);
+        shard.warmup = &request.config->warmup(service);
         shard.group->budget.on_request(now);
         shard.hedge_at = shard.retry_at = time_point::max();
         request.shards.push_back(std::move(shard));
@@ -216,9 +217,9 @@
     return out;
 }
 
-selection_scope dispatcher::impl::scope(request_state const& request, service_group const& group) const
+selection_scope dispatcher::impl::scope(request_state const& request, shard_state const& shard) const
 {
-    return {options.selection, places, {request.via->homes, request.config->warmup(group.name)}};
+    return {options.selection, places, {request.via->homes, *shard.warmup}};
 }
 
 void dispatcher::impl::note_miss(request_summary& summary, selection_miss miss)
@@ -239,7 +240,7 @@
     std::size_t blocked = 0;
     double longest = options.retry_after_s;
     for (auto const& shard : request.shards) {
-        auto const miss = why_no_work(*shard.group, scope(request, *shard.group), now);
+        auto const miss = why_no_work(*shard.group, scope(request, shard), now);
         if (miss != selection_miss::none) {
             note_miss(request.summary, miss);
             ++blocked;
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -46,7 +46,7 @@
 selection_miss dispatcher::impl::send(request_state& request, std::size_t index, attempt_reason reason, time_point now)
 {
     auto& shard = request.shards[index];
-    auto const asked = scope(request, *shard.group);
+    auto const asked = scope(request, shard);
     auto const chosen = choose_backend(*shard.group, shard.tried, room(request, shard), asked, random, now);
     if (!chosen.target) {
         if (reason != attempt_reason::hedge) note_miss(request.summary, chosen.miss);
@@ -80,7 +80,7 @@
                      open_attempt{request.key, index, shard.group, chosen.target,
                                   &request.latencies->of(chosen.target->where), now, request.cautious, false});
     chosen.target->load.on_sent();
-    places.on_sent(chosen.target->place, scope(request, *shard.group).asked, now);
+    places.on_sent(chosen.target->place, scope(request, shard).asked, now);
     shard.tried.push_back(chosen.target->entry.id);
     shard.open.push_back(id);
     ++shard.sends;
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -82,7 +82,7 @@
     /** @return the wait in seconds when too few shards have room, else 0. */
     double blocked_wait_s(request_state& request, time_point now) const;
     /** @return what a choice of a backend server goes by. */
-    selection_scope scope(request_state const& request, service_group const& group) const;
+    selection_scope scope(request_state const& request, shard_state const& shard) const;
     /** Notes that no backend server was left for a shard, for the log. */
     static void note_miss(request_summary& summary, selection_miss miss);
     /** @return the share of queries like this one that its shards can answer. */
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -32,6 +32,7 @@
 /** Progress of one shard of a request; a plain request has one. */
 struct shard_state {
     service_group* group = nullptr;      ///< Service.
+    warmup_spec const* warmup = nullptr; ///< Its word on cold servers, in the request's configuration.
     std::vector<backend_id> tried;       ///< Backend servers that had an attempt.
     std::vector<attempt_id> open;        ///< Attempts not ended.
     int sends = 0;                       ///< Attempts begun.
--- a/src/routing/replica_choice.cpp
+++ b/src/routing/replica_choice.cpp
@@ -71,10 +71,6 @@
     return *chosen;
 }
 
-} // namespace
-
-namespace {
-
 /** Why no candidate is left: the rule that will give way first, as callers are told when to come back. */
 class miss_reason {
 public:
