Logs: the era that the store names, and changes left out because newer ones are known

The incident's hypotheses could not be told apart: no line said which era of the store an answer belonged to, or that a change was left out. Two lines (store_era, superseded), two gauges. No decision changes.

--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -10,6 +10,9 @@
 
 // ---- Store ----
 
+/** Era of the store's contents: rises each time that the store comes back from an older copy; 0: it does not say. */
+using store_era = strong_id<struct store_era_tag, std::int64_t>;
+
 /** An item of the platform's store, or its removal. */
 struct store_item {
     std::string key;           ///< Key.
@@ -49,6 +52,7 @@
     std::function<http_request(std::int64_t lease)> end_lease;          ///< End a lease.
     std::function<store_batch(http_response const&)> parse_batch;       ///< Reads the answer of read, watch, freshness.
     std::function<std::int64_t(http_response const&)> parse_lease;      ///< Reads the answer of grant.
+    std::function<store_era(http_response const&)> parse_era;           ///< Reads the era from any answer of the store.
     std::function<std::shared_ptr<serving_config const>(std::string const& value)>
         parse_config; ///< Reads a configuration.
     std::function<backend_entry(std::string const& id, std::string const& value)> parse_backend; ///< Reads an entry.
@@ -97,6 +101,8 @@
     std::map<std::string, store_item> const& items() const { return m_items; }
     /** @return revision of the copy. */
     std::int64_t as_of() const { return m_as_of; }
+    /** @return changes left out since the start because a newer one of their key was known. */
+    std::uint64_t superseded() const { return m_superseded; }
 
     /**
      * Size of a page, in bytes. A VM that returns after an outage is some thousand changes behind. With all of them in
@@ -121,6 +127,7 @@
     change_index m_removed;                       ///< Of these, the removals.
     std::int64_t m_complete_from = 0;             ///< All removals after this revision are known.
     std::int64_t m_as_of = 0;                     ///< Revision.
+    std::uint64_t m_superseded = 0;               ///< Changes left out.
 };
 
 // ---- Sources ----
@@ -242,6 +249,7 @@
     int status = 0;          ///< See feed_status; 0: no answer.
     char const* reason = ""; ///< Why there is no answer.
     store_batch batch;       ///< The answer when there is one.
+    store_era era;           ///< Era that the store named; 0 for a gateway.
 };
 
 /** Calls of a feed to the outside; a test plays them in virtual time. */
@@ -265,6 +273,8 @@
      * gateways between this VM and the store, the source first. */
     std::function<void(feed_source const& source, time_point confirmed_at, std::vector<std::string> const& path)>
         on_answered;
+    /** The store answered. @param era era that it named. @param as_of revision of the answer; 0 when it has none. */
+    std::function<void(store_era era, std::int64_t as_of)> on_store_era;
     std::function<void(bool searching)> on_search; ///< A search begins or ends: this VM has no source to vouch for.
     std::function<member_map const&()> members;    ///< Live gateways.
 };
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -189,6 +189,7 @@
 
 void state_feed::impl::take(feed_source const& source, feed_reply const& reply)
 {
+    if (source.is_store() && reply.status != 0) events.on_store_era(reply.era, reply.batch.as_of);
     if (reply.status != feed_status::ok) {
         bool const gone = !needs_read && reply.status == feed_status::gone;
         if (gone)
--- a/src/feed/state_mirror.cpp
+++ b/src/feed/state_mirror.cpp
@@ -44,7 +44,10 @@
     std::vector<store_item> taken;
     for (auto const& change : changes) {
         auto const known = m_newest.find(change.key);
-        if (known != m_newest.end() && change.revision < known->second) continue;
+        if (known != m_newest.end() && change.revision < known->second) {
+            ++m_superseded;
+            continue;
+        }
         take(change);
         taken.push_back(change);
     }
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -33,6 +33,8 @@
     int store_answers = 0;                ///< Answers of the store in a row since the last full read.
     std::vector<learned_change> changes;  ///< What the answer that is being taken in changed.
     bool store_up = false;                ///< The last call to the store succeeded.
+    store_era era;                        ///< Era that the store named last.
+    std::uint64_t superseded = 0;         ///< Changes left out so far.
     time_point store_lost_at;             ///< When its calls began to fail.
     state_publisher followers;            ///< Answers the gateways that follow this one.
     gateway_metrics metrics;              ///< Counters.
@@ -104,6 +106,8 @@
     void on_store_call(bool ok);
     /** The store is back after an outage. */
     void on_store_back();
+    /** Notes which era the store names. */
+    void on_store_era(store_era named, std::int64_t as_of);
     /** Takes in everything there is in the store. */
     void on_snapshot(std::vector<store_item> const& items, std::int64_t as_of);
     /** Takes in changes of the store. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -168,6 +168,21 @@
     write({{"event", "bad_item"}, {"key", key}, {"revision", revision}, {"reason", reason}});
 }
 
+void gateway_log::store_era_changed(store_era era, store_era before, std::int64_t revision, std::int64_t known)
+{
+    write({{"event", "store_era"},
+           {"era", era.value()},
+           {"before", before.value()},
+           {"revision", revision},
+           {"known_revision", known}});
+}
+
+void gateway_log::superseded(std::uint64_t count, std::int64_t revision, std::int64_t known)
+{
+    if (!allowed(m_learned, learned_lines)) return;
+    write({{"event", "superseded"}, {"changes", count}, {"revision", revision}, {"known_revision", known}});
+}
+
 void gateway_log::config(config_version version, std::int64_t revision, bool applied)
 {
     write({{"event", "config"}, {"version", version.value()}, {"revision", revision}, {"applied", applied}});
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -40,6 +40,12 @@
     /** A store item cannot be read; the same reason is written once for each key. @param key its key. @param revision
      * its revision. @param reason why. */
     void bad_item(std::string const& key, std::int64_t revision, char const* reason);
+    /** What the store holds is of another era. @param era which. @param before era known until now. @param revision
+     *  revision of the answer. @param known revision of the copy. */
+    void store_era_changed(store_era era, store_era before, std::int64_t revision, std::int64_t known);
+    /** Changes were left out, since newer ones of their keys are known. @param count how many. @param revision store
+     *  revision of the answer. @param known revision of the copy. */
+    void superseded(std::uint64_t count, std::int64_t revision, std::int64_t known);
     /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
     void config(config_version version, std::int64_t revision, bool applied);
     /** The evacuation of a failure domain began or ended. @param domain which. @param in_force whether it began.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -61,6 +61,8 @@
     set("backend_connections_opened", values.connections);
     set("evacuated_domains", values.evacuated_domains);
     set("cold_servers", values.cold_servers);
+    set("store_era", values.store_era);
+    set("superseded_changes", values.superseded);
 }
 
 std::string gateway_metrics::text() const { return prometheus::TextSerializer().Serialize(m_registry->Collect()); }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -46,6 +46,7 @@
         // A follower may not have called the store itself during an outage.
         if (unheard > fresh_limit) on_store_back();
     };
+    events.on_store_era = [this](store_era named, std::int64_t as_of) { on_store_era(named, as_of); };
     events.on_search = [this](bool searching) { followers.set_searching(searching); };
     events.members = [this]() -> member_map const& { return members; };
     feed_place const place{settings.store, member_key(), settings.place.domain, settings.place.region, settings.seeds};
@@ -74,6 +75,12 @@
     on_store_back();
 }
 
+void gateway::impl::on_store_era(store_era named, std::int64_t as_of)
+{
+    auto const before = std::exchange(era, named);
+    if (before != named) log.store_era_changed(named, before, as_of, mirror.as_of());
+}
+
 /** Entries that lapsed while the store was away get time to return; this comes before their removal is taken in. */
 void gateway::impl::on_store_back()
 {
@@ -130,6 +137,8 @@
 {
     for (auto const& item : changes)
         on_item(item);
+    auto const left_out = mirror.superseded() - std::exchange(superseded, mirror.superseded());
+    if (left_out > 0) log.superseded(left_out, as_of, mirror.as_of());
     refresh_members();
     log_changes(as_of);
 }
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -82,6 +82,7 @@
             vm.publisher->on_confirmed(source, at, path);
         };
         events.on_heard = [](feed_source const&, milliseconds) {};
+        events.on_store_era = [](store_era, std::int64_t) {};
         events.on_search = [&vm](bool searching) { vm.publisher->set_searching(searching); };
         events.members = [this]() -> member_map const& { return m_members; };
         feed_place const place{{"10.9.9.9", 1}, vm.key, vm.domain, vm.region, {}};
