--- a/src/store/kv_store.cpp
+++ b/src/store/kv_store.cpp
@@ -175,6 +175,12 @@
     m_revision_open = false;
 }
 
+void kv_store::renew_all(time_point now)
+{
+    for (auto& [id, lease] : m_leases)
+        lease.expiry = now + std::chrono::seconds(lease.ttl_s);
+}
+
 std::vector<std::int64_t> kv_store::expire(time_point now)
 {
     std::vector<std::int64_t> lapsed;
--- a/src/store/kv_store.hpp
+++ b/src/store/kv_store.hpp
@@ -45,6 +45,9 @@
     std::int64_t keepalive(std::int64_t id, time_point now);
     /** Ends lease @p id and deletes its keys. */
     void revoke(std::int64_t id);
+    /** Gives every lease its whole time to live again, as after a time in which the store was away. @param now present
+     *  time. */
+    void renew_all(time_point now);
     /** Ends every lease whose time ran out before @p now. @return the ids ended. */
     std::vector<std::int64_t> expire(time_point now);
 
--- a/tests/stand_in/platform_store.cpp
+++ b/tests/stand_in/platform_store.cpp
@@ -67,7 +67,7 @@
             ++it;
             continue;
         }
-        m_server.answer(it->key, *watch_answer(*it, true));
+        answer(it->key, *watch_answer(*it, true));
         it = m_watches.erase(it);
     }
     m_loop.run_at(m_loop.now() + milliseconds(20), [this] { tick(); });
@@ -83,7 +83,22 @@
         response.status = 400;
         response.body = failure.what();
     }
-    if (!hold) m_server.answer(request.key, std::move(response));
+    if (!hold) answer(request.key, std::move(response));
+}
+
+void platform_store::answer(request_key key, http_response response)
+{
+    response.headers.push_back({"store-era", std::to_string(m_era)});
+    m_server.answer(key, std::move(response));
+}
+
+void platform_store::restore()
+{
+    m_store = m_copy;
+    m_store.renew_all(m_loop.now());
+    ++m_era;
+    for (auto const& watch : std::exchange(m_watches, {}))
+        answer(watch.key, status_only(503));
 }
 
 http_response platform_store::handle(http_request const& request, bool& hold, request_key key)
@@ -145,6 +160,7 @@
 
 std::optional<http_response> platform_store::watch_answer(waiting_watch const& watch, bool timed_out) const
 {
+    if (watch.after > m_store.revision()) return status_only(410);
     json events = json::array();
     try {
         for (auto const& event : m_store.events_after(watch.after, "", std::string(1, '\xff'))) {
@@ -173,7 +189,7 @@
             ++it;
             continue;
         }
-        m_server.answer(it->key, std::move(*answer));
+        this->answer(it->key, std::move(*answer));
         it = m_watches.erase(it);
     }
 }
@@ -233,6 +249,14 @@
 http_response platform_store::control(std::string const& path, json const& body)
 {
     if (path == "/stand-in/calls") return json_response(200, json(m_calls).dump());
+    if (path == "/stand-in/copy") m_copy = m_store;
+    if (path == "/stand-in/restore") restore();
+    if (path == "/stand-in/keys") {
+        json keys = json::object();
+        for (auto const& kv : m_store.range("", std::string(1, '\xff')))
+            keys[kv.key] = kv.value;
+        return json_response(200, keys.dump());
+    }
     if (path == "/stand-in/put") m_store.put(body.at("key"), body.at("value").dump(), 0);
     if (path == "/stand-in/drop") {
         auto const key = body.at("key").get<std::string>();
--- a/tests/stand_in/platform_store.hpp
+++ b/tests/stand_in/platform_store.hpp
@@ -11,7 +11,8 @@
 
 /**
  * The platform's store as its page describes it: items, watches, transactions, leases. Besides, calls under /stand-in/
- * by which a test writes what operators and backend servers would write, and sets faults.
+ * by which a test writes what operators and backend servers would write, and sets faults: among these the loss of all
+ * that was written since a copy was made.
  */
 class platform_store {
 public:
@@ -30,6 +31,10 @@
     };
 
     void on_request(caller_request request);
+    /** Answers a call, naming the era. */
+    void answer(request_key key, http_response response);
+    /** Puts back what the store held when the last copy was made. */
+    void restore();
     http_response handle(http_request const& request, bool& hold, request_key key);
     http_response control(std::string const& path, nlohmann::json const& body);
     http_response read_range(std::string const& target) const;
@@ -43,6 +48,8 @@
     event_loop& m_loop;                   ///< Event loop.
     caller_server m_server;               ///< HTTP server.
     kv_store m_store;                     ///< State.
+    kv_store m_copy;                      ///< State when the last copy was made.
+    std::int64_t m_era = 1;               ///< Rises with each return to a copy.
     std::vector<waiting_watch> m_watches; ///< Waiting watches.
     std::map<std::string, int> m_calls;   ///< Calls by path.
     std::string m_mode = "ok";            ///< ok, silent, busy.
