--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -13,18 +13,33 @@
 /** Era of the store's contents: rises each time that the store comes back from an older copy; 0: it does not say. */
 using store_era = strong_id<struct store_era_tag, std::int64_t>;
 
+/**
+ * A point in the history of the store's contents. Revisions order the changes of one era only: a store that comes back
+ * from an older copy gives them out again, for other changes, in a later era.
+ */
+struct store_position {
+    store_era era;             ///< Era.
+    std::int64_t revision = 0; ///< Revision in this era.
+    /** Positions compare by era, then by revision. */
+    auto operator<=>(store_position const&) const = default;
+    /** @return the position as text, for parse_position(). */
+    std::string to_string() const;
+};
+/** @return the position in @p text, or nothing when it is malformed. @param text what to_string() made. */
+std::optional<store_position> parse_position(std::string_view text);
+
 /** An item of the platform's store, or its removal. */
 struct store_item {
-    std::string key;           ///< Key.
-    std::string value;         ///< Value; empty for a removal.
-    std::int64_t revision = 0; ///< Revision of the change.
-    bool removed = false;      ///< The key was removed.
+    std::string key;         ///< Key.
+    std::string value;       ///< Value; empty for a removal.
+    store_position position; ///< Where the change stands in the store's history.
+    bool removed = false;    ///< The key was removed.
 };
 
 /** A page of items or a batch of changes. */
 struct store_batch {
     std::vector<store_item> items; ///< Items or changes, oldest first.
-    std::int64_t as_of = 0;        ///< Store revision up to which the answer is complete.
+    store_position as_of;          ///< Up to where the answer is complete; its items are of the same era.
     std::string next;              ///< Where the next page begins; empty: this is the last one.
     milliseconds age{0};           ///< How long ago the sender knew that its copy was current; 0 for the store.
     std::vector<std::string> path; ///< Gateways between the sender and the store, the sender's source first.
@@ -43,9 +58,9 @@
     std::string backend_prefix;    ///< Prefix of backend entries; the rest of the key is the id.
     std::string evacuation_prefix; ///< Prefix of evacuations; the rest of the key is the failure domain.
     std::function<http_request(std::string const& prefix, std::string const& after)> read; ///< Read a prefix.
-    std::function<http_request(std::string const& prefix, std::int64_t after, milliseconds wait)>
+    std::function<http_request(std::string const& prefix, store_position after, milliseconds wait)>
         watch;                                                          ///< Wait for changes.
-    std::function<http_request(std::int64_t after)> freshness;          ///< Short proof of how current the answer is.
+    std::function<http_request(store_position after)> freshness;        ///< Short proof of how current the answer is.
     std::function<http_request(std::vector<store_write> const&)> write; ///< Write keys.
     std::function<http_request(milliseconds ttl)> grant;                ///< New lease.
     std::function<http_request(std::int64_t lease)> renew;              ///< Renew a lease.
@@ -80,27 +95,31 @@
 /** A copy of the store's items, with the removals that those who follow this VM may not know yet. */
 class state_mirror {
 public:
-    /** Replaces everything. @param items all items. @param as_of revision. @return what differs from what was known,
-     *  the removal of keys that are gone included. */
-    std::vector<store_item> replace(std::vector<store_item> const& items, std::int64_t as_of);
+    /**
+     * Replaces everything. When the items are of a later era, followers that know an earlier one must read everything
+     * too: changes do not lead from one era to another.
+     * @param items all items. @param as_of position of the copy then. @return what differs from what was known, the
+     * removal of keys that are gone included.
+     */
+    std::vector<store_item> replace(std::vector<store_item> const& items, store_position as_of);
     /**
      * Takes in changes; those older than what is known of their key are left out.
-     * @param changes changes, oldest first. @param as_of revision after them. @return the changes taken in.
+     * @param changes changes, oldest first. @param as_of position after them. @return the changes taken in.
      */
-    std::vector<store_item> apply(std::vector<store_item> const& changes, std::int64_t as_of);
+    std::vector<store_item> apply(std::vector<store_item> const& changes, store_position as_of);
     /**
-     * @return what changed after @p revision, only the newest state of each key, about page_bytes of it at most with
-     * the place where the next page begins; or nothing when some removals are no longer known. @param revision from.
+     * @return what changed after @p from, only the newest state of each key, about page_bytes of it at most with the
+     * place where the next page begins; or nothing when some removals are no longer known. @param from position.
      */
-    std::optional<store_batch> changes_after(std::int64_t revision) const;
-    /** @return whether changes_after() has something to tell. @param revision from. */
-    bool has_changes_after(std::int64_t revision) const;
-    /** @return a page of all items that changed after @p revision, without removals. @param revision from. */
-    store_batch page_after(std::int64_t revision) const;
+    std::optional<store_batch> changes_after(store_position from) const;
+    /** @return whether changes_after() has something to tell. @param from position. */
+    bool has_changes_after(store_position from) const;
+    /** @return a page of all items that changed after @p from, without removals. @param from position. */
+    store_batch page_after(store_position from) const;
     /** @return all items. */
     std::map<std::string, store_item> const& items() const { return m_items; }
-    /** @return revision of the copy. */
-    std::int64_t as_of() const { return m_as_of; }
+    /** @return position of the copy. */
+    store_position as_of() const { return m_as_of; }
     /** @return changes left out since the start because a newer one of their key was known. */
     std::uint64_t superseded() const { return m_superseded; }
 
@@ -112,22 +131,46 @@
     static constexpr std::size_t page_bytes = 48 * 1024;
 
 private:
-    /** Keys by the revision of their newest change. */
-    using change_index = std::set<std::pair<std::int64_t, std::string>>;
+    /** Keys by the position of their newest change. */
+    using change_index = std::set<std::pair<store_position, std::string>>;
     /** Takes in one change. */
     void take(store_item const& change);
     /** Forgets the oldest removals beyond those that are kept. */
     void forget_removals();
-    /** @return a page from @p revision on. @param with_removals whether removals belong to it. */
-    store_batch page(std::int64_t revision, bool with_removals) const;
-
-    std::map<std::string, store_item> m_items;    ///< By key.
-    std::map<std::string, std::int64_t> m_newest; ///< Revision of the newest change of each key.
-    change_index m_by_change;                     ///< The same, by revision.
-    change_index m_removed;                       ///< Of these, the removals.
-    std::int64_t m_complete_from = 0;             ///< All removals after this revision are known.
-    std::int64_t m_as_of = 0;                     ///< Revision.
-    std::uint64_t m_superseded = 0;               ///< Changes left out.
+    /** @return a page from @p from on. @param with_removals whether removals belong to it. */
+    store_batch page(store_position from, bool with_removals) const;
+
+    std::map<std::string, store_item> m_items;      ///< By key.
+    std::map<std::string, store_position> m_newest; ///< Position of the newest change of each key.
+    change_index m_by_change;                       ///< The same, by position.
+    change_index m_removed;                         ///< Of these, the removals.
+    store_position m_complete_from;                 ///< All removals after it are known.
+    store_position m_as_of;                         ///< Position.
+    std::uint64_t m_superseded = 0;                 ///< Changes left out.
+};
+
+/**
+ * Holds back the removal of what was missing when the store came back from an older copy. Its writers are alive and
+ * write it again within a time; acting on its absence meanwhile would take registered gateways, backend servers and
+ * evacuations for gone.
+ */
+class missing_items {
+public:
+    /**
+     * Takes the removals out of what the first read of an era changed. All that is held back is so for the same time.
+     * @param changes what was changed. @param until when the removals are due. @return the other changes.
+     */
+    std::vector<store_item> hold(std::vector<store_item> changes, time_point until);
+    /** A change of the key has arrived: it decides. @param key which. */
+    void forget(std::string const& key) { m_removals.erase(key); }
+    /** Holds everything back for longer. @param until when the removals are due. */
+    void extend(time_point until) { m_until = until; }
+    /** @return the removals that are due, and forgets them. @param now present time. */
+    std::vector<store_item> take_due(time_point now);
+
+private:
+    std::map<std::string, store_item> m_removals; ///< By key.
+    time_point m_until;                           ///< When they are due.
 };
 
 // ---- Sources ----
@@ -239,7 +282,7 @@
     feed_source source;     ///< Where to.
     feed_question question; ///< What.
     std::string page;       ///< For a read: where the page begins.
-    std::int64_t after = 0; ///< For the others: revision that is known.
+    store_position after;   ///< For the others: what is known.
     milliseconds wait{0};   ///< For a watch: how long the source may wait for changes.
     milliseconds limit{0};  ///< The call fails after this.
 };
@@ -249,7 +292,6 @@
     int status = 0;          ///< See feed_status; 0: no answer.
     char const* reason = ""; ///< Why there is no answer.
     store_batch batch;       ///< The answer when there is one.
-    store_era era;           ///< Era that the store named; 0 for a gateway.
 };
 
 /** Calls of a feed to the outside; a test plays them in virtual time. */
@@ -263,9 +305,10 @@
 
 /** What a state feed reports. */
 struct feed_events {
-    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_snapshot; ///< Everything there is.
-    std::function<void(std::vector<store_item> const& items, std::int64_t as_of)> on_changes;  ///< Changes.
-    std::function<void(feed_source const& source, char const* reason)> on_failed;              ///< A source failed.
+    /** Everything there is; of a later era than before when the store came back from an older copy. */
+    std::function<void(std::vector<store_item> const& items, store_position as_of)> on_snapshot;
+    std::function<void(std::vector<store_item> const& items, store_position as_of)> on_changes; ///< Changes.
+    std::function<void(feed_source const& source, char const* reason)> on_failed;               ///< A source failed.
     /** A source with a current copy answered, before what it says is taken in. @param unheard how long nothing had
      *  confirmed the copy. */
     std::function<void(feed_source const& source, milliseconds unheard)> on_heard;
@@ -273,8 +316,6 @@
      * gateways between this VM and the store, the source first. */
     std::function<void(feed_source const& source, time_point confirmed_at, std::vector<std::string> const& path)>
         on_answered;
-    /** The store answered. @param era era that it named. @param as_of revision of the answer; 0 when it has none. */
-    std::function<void(store_era era, std::int64_t as_of)> on_store_era;
     std::function<void(bool searching)> on_search; ///< A search begins or ends: this VM has no source to vouch for.
     std::function<member_map const&()> members;    ///< Live gateways.
 };
@@ -303,7 +344,7 @@
 struct follower_question {
     feed_question question = feed_question::watch; ///< What.
     std::string from;                              ///< Store key of the gateway that asks.
-    std::int64_t after = 0;                        ///< Revision that it knows.
+    store_position after;                          ///< What it knows.
     milliseconds wait{0};                          ///< For a watch: how long it waits.
 };
 
@@ -371,8 +412,8 @@
     void tell_piece(turn& of, time_point now);
     /** @return @p batch with the age of the copy. */
     follower_answer dated(store_batch batch) const;
-    /** @return what changed after @p revision, or that everything must be read. */
-    follower_answer changes_after(std::int64_t revision) const;
+    /** @return what changed after @p from, or that everything must be read. */
+    follower_answer changes_after(store_position from) const;
     /** @return that nothing has changed. */
     follower_answer unchanged() const;
 
@@ -385,8 +426,8 @@
     uplink_backlog m_share;              ///< The share of the link, as a link of its own.
     std::deque<turn> m_turns;            ///< Followers to be told something, first come first served.
     bool m_turn_planned = false;         ///< serve_turns() will run.
-    /** Followers that wait, by the revision up to which they know. */
-    std::map<std::int64_t, std::vector<request_key>> m_watches;
+    /** Followers that wait, by the position up to which they know. */
+    std::map<store_position, std::vector<request_key>> m_watches;
 };
 
 // ---- Calls between gateways ----
@@ -397,8 +438,8 @@
 /** Paths by which gateways ask each other, and the header that names the one that asks. */
 namespace peer_paths {
 inline constexpr char const* state = "/v1/state";         ///< Everything, by pages.
-inline constexpr char const* changes = "/v1/changes";     ///< Changes after a revision; waits for some.
-inline constexpr char const* freshness = "/v1/freshness"; ///< Revision and age of the copy.
+inline constexpr char const* changes = "/v1/changes";     ///< Changes after a position; waits for some.
+inline constexpr char const* freshness = "/v1/freshness"; ///< Position and age of the copy.
 inline constexpr char const* from = "from-gateway";       ///< Header: store key of the gateway that asks.
 } // namespace peer_paths
 /** @return a batch as the body that make_peer_codec() reads. @param batch batch. */
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -241,6 +241,8 @@
     void set(std::string key, std::string value);
     /** Someone else removed the key: write it again under a new lease. */
     void on_removed();
+    /** The store came back from an older copy: what was written before is written again. @param era its era now. */
+    void on_store_era(store_era era);
     /** Ends the lease, which removes the key. */
     void end();
 
--- a/include/cornelspring/places.hpp
+++ b/include/cornelspring/places.hpp
@@ -48,25 +48,19 @@
 /** The failure domains whose backend servers the operators want to get nothing. */
 class evacuations {
 public:
-    /** An evacuation in force. */
-    struct order {
-        std::int64_t revision = 0; ///< Store revision that brought it.
-        time_point learned_at;     ///< When this VM learned it.
-    };
-    /** Takes in an evacuation. @param domain which. @param revision store revision. @param now present time.
-     *  @return whether it is new. */
-    bool begin(domain_name const& domain, std::int64_t revision, time_point now);
+    /** Takes in an evacuation. @param domain which. @return whether it is new. */
+    bool begin(domain_name const& domain) { return m_orders.insert(domain).second; }
     /** Takes in that it was taken back. @param domain which. @param now present time. @return whether it was known. */
     bool end(domain_name const& domain, time_point now);
     /** @return whether @p domain is evacuated. @param domain which. */
     bool in_force(domain_name const& domain) const { return m_orders.contains(domain); }
     /** @return all that are in force. */
-    std::map<domain_name, order> const& orders() const { return m_orders; }
+    std::set<domain_name> const& orders() const { return m_orders; }
     /** @return when the last one of @p domain ended; nothing when none did. @param domain which. */
     std::optional<time_point> ended_at(domain_name const& domain) const;
 
 private:
-    std::map<domain_name, order> m_orders;     ///< In force.
+    std::set<domain_name> m_orders;            ///< In force.
     std::map<domain_name, time_point> m_ended; ///< End of the last one.
 };
 
--- a/src/feed/peer_codec.cpp
+++ b/src/feed/peer_codec.cpp
@@ -49,13 +49,16 @@
     store_batch batch;
     auto fields = json::from_cbor(response.body);
     if (fields.contains("deflated")) fields = inflate_answer(fields);
-    batch.as_of = fields.at("as_of").get<std::int64_t>();
+    store_era const era(fields.at("era").get<std::int64_t>());
+    batch.as_of = {era, fields.at("as_of").get<std::int64_t>()};
     batch.next = fields.at("next").get<std::string>();
     batch.age = milliseconds(fields.at("age_ms").get<std::int64_t>());
     batch.path = fields.at("path").get<std::vector<std::string>>();
     for (auto const& each : fields.at("items")) {
-        batch.items.push_back({each.at("key").get<std::string>(), each.at("value").get<std::string>(),
-                               each.at("revision").get<std::int64_t>(), each.at("removed").get<bool>()});
+        batch.items.push_back({each.at("key").get<std::string>(),
+                               each.at("value").get<std::string>(),
+                               {era, each.at("revision").get<std::int64_t>()},
+                               each.at("removed").get<bool>()});
     }
     return batch;
 }
@@ -66,10 +69,13 @@
 {
     json list = json::array();
     for (auto const& item : batch.items) {
-        list.push_back(
-            {{"key", item.key}, {"value", item.value}, {"revision", item.revision}, {"removed", item.removed}});
+        list.push_back({{"key", item.key},
+                        {"value", item.value},
+                        {"revision", item.position.revision},
+                        {"removed", item.removed}});
     }
-    json const fields = {{"as_of", batch.as_of},
+    json const fields = {{"era", batch.as_of.era.value()},
+                         {"as_of", batch.as_of.revision},
                          {"next", batch.next},
                          {"age_ms", batch.age.count()},
                          {"path", batch.path},
@@ -91,13 +97,13 @@
     };
     store_codec codec;
     codec.read = [ask](std::string const&, std::string const& page) {
-        return ask(std::string(peer_paths::state) + "?after=" + (page.empty() ? "0" : page));
+        return ask(std::string(peer_paths::state) + "?after=" + (page.empty() ? store_position().to_string() : page));
     };
-    codec.watch = [ask](std::string const&, std::int64_t after, milliseconds wait) {
-        return ask(std::string(peer_paths::changes) + "?after=" + std::to_string(after) +
+    codec.watch = [ask](std::string const&, store_position after, milliseconds wait) {
+        return ask(std::string(peer_paths::changes) + "?after=" + after.to_string() +
                    "&wait_ms=" + std::to_string(wait.count()));
     };
-    codec.freshness = [ask](std::int64_t) { return ask(peer_paths::freshness); };
+    codec.freshness = [ask](store_position) { return ask(peer_paths::freshness); };
     codec.parse_batch = decode_peer_batch;
     return codec;
 }
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -59,7 +59,7 @@
     feed_events events;                     ///< Hooks.
     bool is_synced = false;                 ///< A full read is complete.
     bool needs_read = true;                 ///< A full read is to be made.
-    std::int64_t position = 0;              ///< Revision up to which changes are known.
+    store_position position;                ///< Up to where changes are known.
     time_point confirmed_at;                ///< When the copy was current for certain.
     time_point vouched_at;                  ///< When the present source's copy was, by its own word.
     bool calling = false;                   ///< The call for state is under way.
@@ -67,7 +67,7 @@
     std::uint64_t call_number = 0;          ///< Tells replies to abandoned calls apart.
     std::vector<store_item> pages;          ///< Items of the full read under way.
     std::string next_page;                  ///< Where its next page begins; empty: the first.
-    std::int64_t first_revision = 0;        ///< Revision of its first page.
+    store_position first_position;          ///< Position of its first page.
     bool searching = false;                 ///< A search is under way.
     std::uint64_t search_number = 0;        ///< Tells replies of earlier searches apart.
     int round = 0;                          ///< Round of the search.
@@ -126,7 +126,7 @@
 {
     if (needs_read) {
         auto const limit = source.is_store() ? store_read_limit : peer_read_limit;
-        return {source, feed_question::read, next_page, 0, milliseconds(0), limit};
+        return {source, feed_question::read, next_page, {}, milliseconds(0), limit};
     }
     auto const wait = on_trial ? milliseconds(0) : source.is_store() ? store_wait : peer_wait;
     return {source, feed_question::watch, "", position, wait, wait + watch_margin};
@@ -189,7 +189,6 @@
 
 void state_feed::impl::take(feed_source const& source, feed_reply const& reply)
 {
-    if (source.is_store() && reply.status != 0) events.on_store_era(reply.era, reply.batch.as_of);
     if (reply.status != feed_status::ok) {
         bool const gone = !needs_read && reply.status == feed_status::gone;
         if (gone)
@@ -200,11 +199,21 @@
         step();
         return;
     }
-    if (reply.batch.as_of < position && !source.is_store()) {
+    auto const as_of = reply.batch.as_of;
+    if (as_of.era < position.era || (as_of < position && !source.is_store())) {
         failed(source, "its copy is older");
         step();
         return;
     }
+    bool const continues =
+        needs_read ? next_page.empty() || as_of.era == first_position.era : as_of.era == position.era;
+    if (!continues) {
+        // The store came back from an older copy: no change says what it lost, and revisions name other changes.
+        needs_read = true;
+        next_page.clear();
+        step();
+        return;
+    }
     confirmed(source, reply.batch);
     if (needs_read)
         take_page(source, reply.batch);
@@ -217,13 +226,13 @@
     bool const first = next_page.empty();
     if (first) pages.clear();
     // Pages are no snapshot: changes made between them are found by watching from the first page on.
-    if (first) first_revision = batch.as_of;
+    if (first) first_position = batch.as_of;
     pages.insert(pages.end(), batch.items.begin(), batch.items.end());
     next_page = batch.next;
     if (next_page.empty()) {
         needs_read = false;
         is_synced = true;
-        position = first_revision;
+        position = first_position;
         events.on_snapshot(pages, position);
         pages.clear();
         report(source, batch);
--- a/src/feed/state_mirror.cpp
+++ b/src/feed/state_mirror.cpp
@@ -1,6 +1,9 @@
 /** @file state_mirror.cpp A copy of the store's items, and what followers are told of its changes. */
 #include <cornelspring/feed.hpp>
 
+#include <algorithm>
+#include <charconv>
+
 namespace cornelspring {
 namespace {
 
@@ -11,18 +14,33 @@
 
 } // namespace
 
+std::string store_position::to_string() const { return std::to_string(era.value()) + "." + std::to_string(revision); }
+
+std::optional<store_position> parse_position(std::string_view text)
+{
+    std::int64_t era = 0;
+    store_position found;
+    auto const* const end = text.data() + text.size();
+    auto const dot = std::from_chars(text.data(), end, era);
+    if (dot.ec != std::errc() || dot.ptr == end || *dot.ptr != '.') return std::nullopt;
+    auto const last = std::from_chars(dot.ptr + 1, end, found.revision);
+    if (last.ec != std::errc()) return std::nullopt;
+    found.era = store_era(era);
+    return found;
+}
+
 void state_mirror::take(store_item const& change)
 {
-    auto const [newest, is_new] = m_newest.try_emplace(change.key, change.revision);
+    auto const [newest, is_new] = m_newest.try_emplace(change.key, change.position);
     if (!is_new) {
         m_by_change.erase({newest->second, change.key});
         m_removed.erase({newest->second, change.key});
-        newest->second = change.revision;
+        newest->second = change.position;
     }
-    m_by_change.emplace(change.revision, change.key);
+    m_by_change.emplace(change.position, change.key);
     if (change.removed) {
         m_items.erase(change.key);
-        m_removed.emplace(change.revision, change.key);
+        m_removed.emplace(change.position, change.key);
     } else {
         m_items.insert_or_assign(change.key, change);
     }
@@ -39,12 +57,12 @@
     }
 }
 
-std::vector<store_item> state_mirror::apply(std::vector<store_item> const& changes, std::int64_t as_of)
+std::vector<store_item> state_mirror::apply(std::vector<store_item> const& changes, store_position as_of)
 {
     std::vector<store_item> taken;
     for (auto const& change : changes) {
         auto const known = m_newest.find(change.key);
-        if (known != m_newest.end() && change.revision < known->second) {
+        if (known != m_newest.end() && change.position < known->second) {
             ++m_superseded;
             continue;
         }
@@ -56,36 +74,42 @@
     return taken;
 }
 
-std::vector<store_item> state_mirror::replace(std::vector<store_item> const& items, std::int64_t as_of)
+std::vector<store_item> state_mirror::replace(std::vector<store_item> const& items, store_position as_of)
 {
-    if (m_as_of == 0) m_complete_from = as_of;
+    bool const other_era = as_of.era != m_as_of.era;
+    if (other_era || m_as_of.revision == 0) m_complete_from = as_of;
     std::set<std::string> present;
     // Followers get the differences as changes: each of them reading everything again would fill a small VM's link.
     std::vector<store_item> differences;
     for (auto const& item : items) {
         present.insert(item.key);
         auto const known = m_items.find(item.key);
-        if (known == m_items.end() || known->second.revision != item.revision) differences.push_back(item);
+        bool const same = known != m_items.end() && known->second.position.revision == item.position.revision &&
+                          known->second.value == item.value;
+        if (!same)
+            differences.push_back(item);
+        else if (other_era)
+            take(item); // Nothing new to this VM; pages and changes are all of one era.
     }
     for (auto const& [key, item] : m_items) {
-        if (!present.contains(key) && item.revision <= as_of) differences.push_back({key, {}, as_of, true});
+        if (!present.contains(key) && item.position <= as_of) differences.push_back({key, {}, as_of, true});
     }
     return apply(differences, as_of);
 }
 
-store_batch state_mirror::page(std::int64_t revision, bool with_removals) const
+store_batch state_mirror::page(store_position from, bool with_removals) const
 {
     store_batch batch;
     batch.as_of = m_as_of;
     std::size_t bytes = 0;
-    auto last = revision;
-    for (auto each = m_by_change.lower_bound({revision + 1, {}}); each != m_by_change.end(); ++each) {
+    auto last = from;
+    for (auto each = m_by_change.lower_bound({{from.era, from.revision + 1}, {}}); each != m_by_change.end(); ++each) {
         auto const& [changed_at, key] = *each;
         if (!with_removals && m_removed.contains(*each)) continue;
         // All changes of one revision are on one page.
         if (bytes >= page_bytes && changed_at != last) {
             batch.as_of = last;
-            batch.next = std::to_string(last);
+            batch.next = last.to_string();
             break;
         }
         last = changed_at;
@@ -96,22 +120,42 @@
     return batch;
 }
 
-std::optional<store_batch> state_mirror::changes_after(std::int64_t revision) const
+std::optional<store_batch> state_mirror::changes_after(store_position from) const
 {
-    if (revision < m_complete_from) return std::nullopt;
-    return page(revision, true);
+    if (from < m_complete_from) return std::nullopt;
+    return page(from, true);
 }
 
-bool state_mirror::has_changes_after(std::int64_t revision) const
+bool state_mirror::has_changes_after(store_position from) const
 {
-    return revision < m_complete_from || m_by_change.lower_bound({revision + 1, {}}) != m_by_change.end();
+    return from < m_complete_from || m_by_change.lower_bound({{from.era, from.revision + 1}, {}}) != m_by_change.end();
 }
 
-store_batch state_mirror::page_after(std::int64_t revision) const
+store_batch state_mirror::page_after(store_position from) const
 {
-    auto batch = page(revision, false);
-    batch.as_of = m_as_of; // Changes made meanwhile are found by watching from the first page's revision on.
+    auto batch = page(from, false);
+    batch.as_of = m_as_of; // Changes made meanwhile are found by watching from the first page's position on.
     return batch;
 }
 
+std::vector<store_item> missing_items::hold(std::vector<store_item> changes, time_point until)
+{
+    m_until = until;
+    auto const removals =
+        std::stable_partition(changes.begin(), changes.end(), [](store_item const& change) { return !change.removed; });
+    for (auto each = removals; each != changes.end(); ++each)
+        m_removals.insert_or_assign(each->key, *each);
+    changes.erase(removals, changes.end());
+    return changes;
+}
+
+std::vector<store_item> missing_items::take_due(time_point now)
+{
+    std::vector<store_item> due;
+    if (now < m_until) return due;
+    for (auto const& [key, removal] : std::exchange(m_removals, {}))
+        due.push_back(removal);
+    return due;
+}
+
 } // namespace cornelspring
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -35,9 +35,9 @@
     return {feed_status::ok, std::move(batch), {}};
 }
 
-follower_answer state_publisher::changes_after(std::int64_t revision) const
+follower_answer state_publisher::changes_after(store_position from) const
 {
-    auto changes = m_mirror.changes_after(revision);
+    auto changes = m_mirror.changes_after(from);
     return changes ? dated(std::move(*changes)) : follower_answer{feed_status::gone, {}, {}};
 }
 
--- a/src/gateway/feed_calls.cpp
+++ b/src/gateway/feed_calls.cpp
@@ -34,13 +34,12 @@
 
 feed_reply feed_calls::reply_of(feed_call const& call, exchange_result const& result) const
 {
-    if (!result.answered) return {0, result.detail, {}, {}};
-    auto const era = call.source.is_store() ? m_store.parse_era(result.response) : store_era();
-    if (result.response.status != 200) return {result.response.status, "", {}, era};
+    if (!result.answered) return {0, result.detail, {}};
+    if (result.response.status != 200) return {result.response.status, "", {}};
     try {
-        return {200, "", codec(call.source).parse_batch(result.response), era};
+        return {200, "", codec(call.source).parse_batch(result.response)};
     } catch (std::exception const&) {
-        return {0, "malformed answer", {}, {}}; // Logged by the feed as the reason why the source failed.
+        return {0, "malformed answer", {}}; // Logged by the feed as the reason why the source failed.
     }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,8 +106,8 @@
         return;
     } else if (path == settings.metrics_path) {
         metrics.set_state({requests->open_requests(), callers->connections(), pool->connections_opened(),
-                           places.evacuated().orders().size(), registry.cold_count(loop.now()), era.value(),
-                           superseded});
+                           places.evacuated().orders().size(), registry.cold_count(loop.now()),
+                           mirror.as_of().era.value(), superseded});
         response.headers.push_back({"content-type", "text/plain; version=0.0.4"});
         response.body = metrics.text();
     } else {
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -13,7 +13,7 @@
 inline constexpr char const* crash_records_prefix = "crash-records/";
 /** Such a record stays so long in the store after its gateway has gone: as long as the longest quarantine. */
 inline constexpr milliseconds crash_records_ttl{600000};
-/** Entries that lapsed during a store outage have this long to come back after its return. */
+/** What lapsed during a store outage, or was lost with it, has this long to come back after its return. */
 inline constexpr milliseconds lapse_grace{2200};
 /** Gateways assumed to share the budgets before the others are known. */
 inline constexpr std::size_t least_vms = 3;
@@ -33,7 +33,7 @@
     int store_answers = 0;                ///< Answers of the store in a row since the last full read.
     std::vector<learned_change> changes;  ///< What the answer that is being taken in changed.
     bool store_up = false;                ///< The last call to the store succeeded.
-    store_era era;                        ///< Era that the store named last.
+    missing_items missing;                ///< What the store lost when it came back from an older copy.
     std::uint64_t superseded = 0;         ///< Changes left out so far.
     time_point store_lost_at;             ///< When its calls began to fail.
     state_publisher followers;            ///< Answers the gateways that follow this one.
@@ -106,14 +106,17 @@
     void on_store_call(bool ok);
     /** The store is back after an outage. */
     void on_store_back();
-    /** Notes which era the store names. */
-    void on_store_era(store_era named, std::int64_t as_of);
+    /** @return what to take in of the first read of an era, @p differences to what was known before. */
+    std::vector<store_item> on_restored(std::vector<store_item> differences, store_position known,
+                                        store_position as_of);
+    /** Takes in that what was missing after a return of the store to an older copy was not written again. */
+    void release_missing();
     /** Takes in everything there is in the store. */
-    void on_snapshot(std::vector<store_item> const& items, std::int64_t as_of);
+    void on_snapshot(std::vector<store_item> const& items, store_position as_of);
     /** Takes in changes of the store. */
-    void on_changes(std::vector<store_item> const& items, std::int64_t as_of);
+    void on_changes(std::vector<store_item> const& items, store_position as_of);
     /** Takes over what follows from changes of the copy. */
-    void take_in(std::vector<store_item> const& changes, std::int64_t as_of);
+    void take_in(std::vector<store_item> const& changes, store_position as_of);
     /** Takes over what follows from the set of gateways. */
     void refresh_members();
     /** Takes in one item, or its removal. */
@@ -127,7 +130,7 @@
     /** @return the backend server of an entry. */
     backend_id backend_of(store_item const& item) const;
     /** Takes in that a backend server has no entry any more. */
-    void remove_backend(backend_id const& id, std::int64_t revision);
+    void remove_backend(backend_id const& id, store_position position);
     /** Takes in the registration of a gateway. */
     void on_member(store_item const& item);
     /** @return the store key of what this VM tells of requests that crash backend servers. */
@@ -137,9 +140,9 @@
     /** Takes in what a gateway tells of requests that crash backend servers. */
     void on_crash_records(store_item const& item);
     /** Notes a change, for the log. */
-    void note(std::string name, change_kind kind, std::int64_t revision);
+    void note(std::string name, change_kind kind, store_position position);
     /** Logs what was noted since the last time. */
-    void log_changes(std::int64_t revision);
+    void log_changes(store_position as_of);
     /** Drops entries that did not return after a store outage. */
     void expire_lapsed();
 
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -76,13 +76,22 @@
     return "unknown";
 }
 
+/** Adds where a change stands in the store's history. */
+void add_position(nlohmann::json& line, store_position position)
+{
+    line["era"] = position.era.value();
+    line["revision"] = position.revision;
+}
+
 /** @return the line that names one change. */
 nlohmann::json line_of(learned_change const& change)
 {
     auto const* kind = to_string(change.kind);
-    if (change.kind == change_kind::joined || change.kind == change_kind::left)
-        return {{"event", "member"}, {"member", change.name}, {"change", kind}, {"revision", change.revision}};
-    return {{"event", "backend"}, {"backend", change.name}, {"state", kind}, {"revision", change.revision}};
+    bool const member = change.kind == change_kind::joined || change.kind == change_kind::left;
+    auto line = member ? nlohmann::json{{"event", "member"}, {"member", change.name}, {"change", kind}}
+                       : nlohmann::json{{"event", "backend"}, {"backend", change.name}, {"state", kind}};
+    add_position(line, change.position);
+    return line;
 }
 
 } // namespace
@@ -161,47 +170,59 @@
            {"state_age_ms", state_age.count()}});
 }
 
-void gateway_log::bad_item(std::string const& key, std::int64_t revision, char const* reason)
+void gateway_log::bad_item(std::string const& key, store_position position, char const* reason)
 {
     if (m_bad_items.size() >= bad_items_kept) m_bad_items.clear();
     if (std::exchange(m_bad_items[key], reason) == reason) return;
-    write({{"event", "bad_item"}, {"key", key}, {"revision", revision}, {"reason", reason}});
+    nlohmann::json line{{"event", "bad_item"}, {"key", key}, {"reason", reason}};
+    add_position(line, position);
+    write(line);
 }
 
-void gateway_log::store_era_changed(store_era era, store_era before, std::int64_t revision, std::int64_t known)
+void gateway_log::store_restored(store_position position, store_position known, std::size_t held)
 {
-    write({{"event", "store_era"},
-           {"era", era.value()},
-           {"before", before.value()},
-           {"revision", revision},
-           {"known_revision", known}});
+    nlohmann::json line{{"event", "store_restored"},
+                        {"known_era", known.era.value()},
+                        {"known_revision", known.revision},
+                        {"held", held}};
+    add_position(line, position);
+    write(line);
 }
 
-void gateway_log::superseded(std::uint64_t count, std::int64_t revision, std::int64_t known)
+void gateway_log::superseded(std::uint64_t count, store_position position, store_position known)
 {
     if (!allowed(m_learned, learned_lines)) return;
-    write({{"event", "superseded"}, {"changes", count}, {"revision", revision}, {"known_revision", known}});
+    nlohmann::json line{{"event", "superseded"},
+                        {"changes", count},
+                        {"known_era", known.era.value()},
+                        {"known_revision", known.revision}};
+    add_position(line, position);
+    write(line);
 }
 
-void gateway_log::config(config_version version, std::int64_t revision, bool applied)
+void gateway_log::config(config_version version, store_position position, bool applied)
 {
-    write({{"event", "config"}, {"version", version.value()}, {"revision", revision}, {"applied", applied}});
+    nlohmann::json line{{"event", "config"}, {"version", version.value()}, {"applied", applied}};
+    add_position(line, position);
+    write(line);
 }
 
-void gateway_log::evacuation(domain_name const& domain, bool in_force, std::int64_t revision, milliseconds state_age)
+void gateway_log::evacuation(domain_name const& domain, bool in_force, store_position position, milliseconds state_age)
 {
-    write({{"event", "evacuation"},
-           {"domain", domain.value()},
-           {"in_force", in_force},
-           {"revision", revision},
-           {"state_age_ms", state_age.count()}});
+    nlohmann::json line{{"event", "evacuation"},
+                        {"domain", domain.value()},
+                        {"in_force", in_force},
+                        {"state_age_ms", state_age.count()}};
+    add_position(line, position);
+    write(line);
 }
 
-void gateway_log::learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision,
+void gateway_log::learned(std::vector<learned_change> const& changes, bool named, store_position position,
                           milliseconds state_age)
 {
     if (changes.empty()) return;
-    nlohmann::json line{{"event", "learned"}, {"revision", revision}, {"state_age_ms", state_age.count()}};
+    nlohmann::json line{{"event", "learned"}, {"state_age_ms", state_age.count()}};
+    add_position(line, position);
     for (auto const kind : {change_kind::ready, change_kind::draining, change_kind::lapsed, change_kind::gone,
                             change_kind::joined, change_kind::left})
         line[to_string(kind)] = 0;
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -19,7 +19,7 @@
 struct learned_change {
     std::string name;                      ///< Id of the backend server, or store key of the gateway.
     change_kind kind = change_kind::ready; ///< What became of it.
-    std::int64_t revision = 0;             ///< Store revision that says so.
+    store_position position;               ///< Where the change stands in the store's history.
 };
 
 /** Writes the gateway's log lines. Good requests are sampled under load, so that the volume stays bounded. */
@@ -37,28 +37,30 @@
     /** The source of the store's state changed or failed. @param source which. @param change used or failed.
      *  @param reason why. @param state_age how long ago the copy of that state was current for certain. */
     void source(feed_source const& source, char const* change, char const* reason, milliseconds state_age);
-    /** A store item cannot be read; the same reason is written once for each key. @param key its key. @param revision
-     * its revision. @param reason why. */
-    void bad_item(std::string const& key, std::int64_t revision, char const* reason);
-    /** What the store holds is of another era. @param era which. @param before era known until now. @param revision
-     *  revision of the answer. @param known revision of the copy. */
-    void store_era_changed(store_era era, store_era before, std::int64_t revision, std::int64_t known);
-    /** Changes were left out, since newer ones of their keys are known. @param count how many. @param revision store
-     *  revision of the answer. @param known revision of the copy. */
-    void superseded(std::uint64_t count, std::int64_t revision, std::int64_t known);
-    /** A configuration arrived. @param version its version. @param revision store revision. @param applied in force. */
-    void config(config_version version, std::int64_t revision, bool applied);
+    /** A store item cannot be read; the same reason is written once for each key. @param key its key. @param position
+     * where the item stands in the store's history. @param reason why. */
+    void bad_item(std::string const& key, store_position position, char const* reason);
+    /** The store came back from an older copy. @param position of what it holds now. @param known position of the copy
+     *  until now. @param held removals held back until their writers had time to write again. */
+    void store_restored(store_position position, store_position known, std::size_t held);
+    /** Changes were left out, since newer ones of their keys are known. @param count how many. @param position of the
+     *  answer. @param known position of the copy. */
+    void superseded(std::uint64_t count, store_position position, store_position known);
+    /** A configuration arrived. @param version its version. @param position where it stands in the store's history.
+     *  @param applied in force. */
+    void config(config_version version, store_position position, bool applied);
     /** The evacuation of a failure domain began or ended. @param domain which. @param in_force whether it began.
-     *  @param revision store revision. @param state_age age of the copy. */
-    void evacuation(domain_name const& domain, bool in_force, std::int64_t revision, milliseconds state_age);
+     *  @param position where that stands in the store's history. @param state_age age of the copy. */
+    void evacuation(domain_name const& domain, bool in_force, store_position position, milliseconds state_age);
     /**
      * The belief about backend servers and gateways changed. Every gateway learns the same, so that those that watch
      * the store name each change, and all others, and a full read, only say how many and up to which revision: a
      * line for each entry at each VM would grow with the square of the fleet.
-     * @param changes what changed; no line when it is empty. @param named whether each gets a line. @param revision
-     * store revision up to which it is known. @param state_age age of the copy.
+     * @param changes what changed; no line when it is empty. @param named whether each gets a line. @param position
+     * of the answer. @param state_age age of the copy.
      */
-    void learned(std::vector<learned_change> const& changes, bool named, std::int64_t revision, milliseconds state_age);
+    void learned(std::vector<learned_change> const& changes, bool named, store_position position,
+                 milliseconds state_age);
     /** What is believed of a request changed. @param change what and why. @param left how long it stays in quarantine.
      */
     void quarantine(request_quarantine::change const& change, milliseconds left);
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -25,7 +25,7 @@
         std::uint64_t connections = 0;      ///< Connections to backend servers opened since the start.
         std::size_t evacuated_domains = 0;  ///< Failure domains evacuated.
         std::size_t cold_servers = 0;       ///< Backend servers that say that they are cold.
-        std::int64_t store_era = 0;         ///< Era that the store named last.
+        std::int64_t store_era = 0;         ///< Era of the copy of the store.
         std::uint64_t superseded = 0;       ///< Changes of the store left out, newer ones being known.
     };
     /** Sets the gauges. @param values present values. */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -13,14 +13,19 @@
 /** Connections of a backend server for each active gateway, those left free for restarts included. */
 constexpr double connections_per_gateway = 3.3;
 
+/** @return what follows @p name and an equals sign in the query of @p target; empty when it is not there. */
+std::string_view query_rest(std::string_view target, std::string const& name)
+{
+    auto const at = target.find(name + "=");
+    return at == std::string_view::npos ? std::string_view() : target.substr(at + name.size() + 1);
+}
+
 /** @return the number given as @p name in the query of @p target. */
 std::optional<std::int64_t> query_number(std::string const& target, std::string const& name)
 {
-    auto const at = target.find(name + "=");
-    if (at == std::string::npos) return std::nullopt;
     std::int64_t value = 0;
-    auto const* begin = target.data() + at + name.size() + 1;
-    if (std::from_chars(begin, target.data() + target.size(), value).ec != std::errc()) return std::nullopt;
+    auto const text = query_rest(target, name);
+    if (std::from_chars(text.data(), text.data() + text.size(), value).ec != std::errc()) return std::nullopt;
     return value;
 }
 
@@ -29,8 +34,8 @@
 void gateway::impl::make_feed()
 {
     feed_events events;
-    events.on_snapshot = [this](auto const& items, std::int64_t as_of) { on_snapshot(items, as_of); };
-    events.on_changes = [this](auto const& items, std::int64_t as_of) { on_changes(items, as_of); };
+    events.on_snapshot = [this](auto const& items, store_position as_of) { on_snapshot(items, as_of); };
+    events.on_changes = [this](auto const& items, store_position as_of) { on_changes(items, as_of); };
     events.on_failed = [this](feed_source const& source, char const* reason) {
         log.source(source, "failed", reason, followers.age());
         if (source.is_store()) on_store_call(false);
@@ -46,7 +51,6 @@
         // A follower may not have called the store itself during an outage.
         if (unheard > fresh_limit) on_store_back();
     };
-    events.on_store_era = [this](store_era named, std::int64_t as_of) { on_store_era(named, as_of); };
     events.on_search = [this](bool searching) { followers.set_searching(searching); };
     events.members = [this]() -> member_map const& { return members; };
     feed_place const place{settings.store, member_key(), settings.place.domain, settings.place.region, settings.seeds};
@@ -75,12 +79,6 @@
     on_store_back();
 }
 
-void gateway::impl::on_store_era(store_era named, std::int64_t as_of)
-{
-    auto const before = std::exchange(era, named);
-    if (before != named) log.store_era_changed(named, before, as_of, mirror.as_of());
-}
-
 /** Entries that lapsed while the store was away get time to return; this comes before their removal is taken in. */
 void gateway::impl::on_store_back()
 {
@@ -114,45 +112,78 @@
                      : path == peer_paths::freshness ? feed_question::freshness
                                                      : feed_question::watch;
     asked.from = request.header(peer_paths::from);
-    asked.after = query_number(request.path, "after").value_or(0);
+    asked.after = parse_position(query_rest(request.path, "after")).value_or(store_position());
     asked.wait = milliseconds(query_number(request.path, "wait_ms").value_or(0));
     followers.ask(key, asked);
 }
 
 // ---- Store ----
 
-void gateway::impl::on_snapshot(std::vector<store_item> const& items, std::int64_t as_of)
+void gateway::impl::on_snapshot(std::vector<store_item> const& items, store_position as_of)
 {
     store_answers = 0;
-    take_in(mirror.replace(items, as_of), as_of);
+    auto const known = mirror.as_of();
+    auto differences = mirror.replace(items, as_of);
+    bool const restored = known != store_position() && known.era != as_of.era;
+    if (restored) differences = on_restored(std::move(differences), known, as_of);
+    take_in(differences, as_of);
     if (settings.caller_address) registered->set(member_key(), encode_member(self()));
 }
 
-void gateway::impl::on_changes(std::vector<store_item> const& items, std::int64_t as_of)
+std::vector<store_item> gateway::impl::on_restored(std::vector<store_item> differences, store_position known,
+                                                   store_position as_of)
+{
+    auto const all = differences.size();
+    auto const until = loop.now() + lapse_grace;
+    auto taken = missing.hold(std::move(differences), until);
+    log.store_restored(as_of, known, all - taken.size());
+    // Gateways tell what they know of crashes again in this era; what the copy holds of it may be older than that.
+    std::erase_if(taken, [](store_item const& item) { return item.key.starts_with(crash_records_prefix); });
+    registered->on_store_era(as_of.era);
+    crash_records->on_store_era(as_of.era);
+    on_store_back();
+    loop.run_at(until, [this] { release_missing(); });
+    return taken;
+}
+
+void gateway::impl::release_missing()
+{
+    // Nothing is known to be missing while nobody confirms the copy.
+    if (followers.age() > fresh_limit) {
+        missing.extend(loop.now() + lapse_grace);
+        loop.run_at(loop.now() + lapse_grace, [this] { release_missing(); });
+        return;
+    }
+    take_in(missing.take_due(loop.now()), mirror.as_of());
+}
+
+void gateway::impl::on_changes(std::vector<store_item> const& items, store_position as_of)
 {
     take_in(mirror.apply(items, as_of), as_of);
 }
 
-void gateway::impl::take_in(std::vector<store_item> const& changes, std::int64_t as_of)
+void gateway::impl::take_in(std::vector<store_item> const& changes, store_position as_of)
 {
-    for (auto const& item : changes)
+    for (auto const& item : changes) {
+        missing.forget(item.key);
         on_item(item);
+    }
     auto const left_out = mirror.superseded() - std::exchange(superseded, mirror.superseded());
     if (left_out > 0) log.superseded(left_out, as_of, mirror.as_of());
     refresh_members();
     log_changes(as_of);
 }
 
-void gateway::impl::note(std::string name, change_kind kind, std::int64_t revision)
+void gateway::impl::note(std::string name, change_kind kind, store_position position)
 {
-    changes.push_back({std::move(name), kind, revision});
+    changes.push_back({std::move(name), kind, position});
 }
 
-void gateway::impl::log_changes(std::int64_t revision)
+void gateway::impl::log_changes(store_position as_of)
 {
     // All VMs of a start watch the store once after their full read; those that do so again are its readers.
     bool const reads_store = store_answers > 1;
-    log.learned(std::exchange(changes, {}), reads_store, revision, followers.age());
+    log.learned(std::exchange(changes, {}), reads_store, as_of, followers.age());
 }
 
 void gateway::impl::refresh_members()
@@ -182,9 +213,9 @@
             on_crash_records(item);
         }
     } catch (std::exception const& failure) {
-        log.bad_item(item.key, item.revision, failure.what());
+        log.bad_item(item.key, item.position, failure.what());
         // What cannot be read names no backend server, whatever it named before; its next good entry brings it back.
-        if (item.key.starts_with(codec.backend_prefix)) remove_backend(backend_of(item), item.revision);
+        if (item.key.starts_with(codec.backend_prefix)) remove_backend(backend_of(item), item.position);
     }
 }
 
@@ -193,7 +224,7 @@
     if (item.removed) return;
     auto const next = codec.parse_config(item.value);
     bool const newer = configs.offer(next);
-    log.config(next->version(), item.revision, newer);
+    log.config(next->version(), item.position, newer);
 }
 
 void gateway::impl::on_evacuation(store_item const& item)
@@ -201,8 +232,8 @@
     domain_name const domain(item.key.substr(codec.evacuation_prefix.size()));
     auto& evacuated = places.evacuated();
     auto const now = loop.now();
-    bool const changed = item.removed ? evacuated.end(domain, now) : evacuated.begin(domain, item.revision, now);
-    if (changed) log.evacuation(domain, !item.removed, item.revision, followers.age());
+    bool const changed = item.removed ? evacuated.end(domain, now) : evacuated.begin(domain);
+    if (changed) log.evacuation(domain, !item.removed, item.position, followers.age());
 }
 
 backend_id gateway::impl::backend_of(store_item const& item) const
@@ -210,34 +241,34 @@
     return backend_id(item.key.substr(codec.backend_prefix.size()));
 }
 
-void gateway::impl::remove_backend(backend_id const& id, std::int64_t revision)
+void gateway::impl::remove_backend(backend_id const& id, store_position position)
 {
     if (!registry.remove(id, loop.now())) return;
-    note(id.value(), registry.find(id) ? change_kind::lapsed : change_kind::gone, revision);
+    note(id.value(), registry.find(id) ? change_kind::lapsed : change_kind::gone, position);
 }
 
 void gateway::impl::on_backend(store_item const& item)
 {
     auto const id = backend_of(item);
     if (item.removed) {
-        remove_backend(id, item.revision);
+        remove_backend(id, item.position);
         return;
     }
     auto const entry = codec.parse_backend(id.value(), item.value);
     if (!registry.apply(entry, loop.now())) return;
-    note(id.value(), entry.draining ? change_kind::draining : change_kind::ready, item.revision);
+    note(id.value(), entry.draining ? change_kind::draining : change_kind::ready, item.position);
 }
 
 void gateway::impl::on_member(store_item const& item)
 {
     if (item.removed) {
         members.erase(item.key);
-        note(item.key, change_kind::left, item.revision);
+        note(item.key, change_kind::left, item.position);
         if (item.key == member_key()) registered->on_removed();
         return;
     }
     bool const is_new = members.insert_or_assign(item.key, decode_member(item.value)).second;
-    if (is_new) note(item.key, change_kind::joined, item.revision);
+    if (is_new) note(item.key, change_kind::joined, item.position);
 }
 
 void gateway::impl::on_quarantine(request_quarantine::change const& change)
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -34,6 +34,7 @@
     std::string key;                      ///< Key.
     std::string value;                    ///< Value.
     std::int64_t lease = 0;               ///< Lease, or 0.
+    store_era lease_era;                  ///< Era of the store that granted it.
     bool written = false;                 ///< The value was written under the lease.
     bool ended = false;                   ///< end() was called.
     milliseconds backoff{0};              ///< Wait after the last failed call; 0 after a success.
@@ -48,6 +49,12 @@
     void take_lease(exchange_result const& result);
     void take_write(std::string const& sent, exchange_result const& result);
     void take_renewal(exchange_result const& result);
+    /** @return whether the store names another era than that of the lease: it may have lost the key, or the lease, or
+     *  have given the lease's number to another VM. */
+    bool of_other_era(exchange_result const& result) const
+    {
+        return result.answered && codec.parse_era(result.response) != lease_era;
+    }
     /** Starts over with a new lease. */
     void forget_lease()
     {
@@ -92,12 +99,17 @@
 {
     if (!note(succeeded(result))) return again();
     lease = codec.parse_lease(result.response);
+    lease_era = codec.parse_era(result.response);
     step();
 }
 
 void registration::impl::take_write(std::string const& sent, exchange_result const& result)
 {
     if (note(succeeded(result))) {
+        if (of_other_era(result)) {
+            forget_lease();
+            return step();
+        }
         written = sent == value;
         return written ? later(ttl / renewals_per_ttl) : step();
     }
@@ -107,8 +119,9 @@
 
 void registration::impl::take_renewal(exchange_result const& result)
 {
-    bool const lapsed = result.answered && result.response.status == status_not_found;
-    bool const heard = note(succeeded(result) || lapsed);
+    bool const unknown = result.answered && result.response.status == status_not_found;
+    bool const heard = note(succeeded(result) || unknown);
+    bool const lapsed = unknown || (heard && of_other_era(result));
     if (lapsed) forget_lease();
     if (!heard) return again();
     later(lapsed ? milliseconds(0) : ttl / renewals_per_ttl);
@@ -116,8 +129,20 @@
 
 registration::registration(event_loop& loop, endpoint store, store_codec const& codec, milliseconds ttl,
                            std::function<void(bool)> on_call)
-    : m_impl(new impl{
-          loop, std::move(store), codec, ttl, std::move(on_call), store_channel(loop), {}, {}, 0, false, false, {}, {}})
+    : m_impl(new impl{loop,
+                      std::move(store),
+                      codec,
+                      ttl,
+                      std::move(on_call),
+                      store_channel(loop),
+                      {},
+                      {},
+                      0,
+                      {},
+                      false,
+                      false,
+                      {},
+                      {}})
 {
 }
 
@@ -140,6 +165,14 @@
     m_impl->later(retry_wait);
 }
 
+void registration::on_store_era(store_era era)
+{
+    auto& state = *m_impl;
+    if (state.lease == 0 || state.lease_era == era || state.ended) return;
+    state.forget_lease();
+    state.later(milliseconds(0));
+}
+
 void registration::end()
 {
     auto& state = *m_impl;
--- a/src/places/evacuations.cpp
+++ b/src/places/evacuations.cpp
@@ -15,11 +15,6 @@
     return found == regions.end() ? region_name() : found->second;
 }
 
-bool evacuations::begin(domain_name const& domain, std::int64_t revision, time_point now)
-{
-    return m_orders.emplace(domain, order{revision, now}).second;
-}
-
 bool evacuations::end(domain_name const& domain, time_point now)
 {
     if (m_orders.erase(domain) == 0) return false;
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -36,70 +36,112 @@
 
 feed_fleet::feed_fleet(int vms, int domains, std::uint64_t seed) : m_random(seed)
 {
-    m_store.replace({}, m_revision);
+    m_store.replace({}, m_position);
     for (int i = 0; i < vms; ++i) {
         m_vms.push_back(std::make_unique<vm_state>());
         auto& vm = *m_vms.back();
-        auto number = std::to_string(1000 + i);
-        vm.key = "g/" + number;
+        vm.key = "g/" + std::to_string(1000 + i);
         vm.domain = domain_name("d" + std::to_string(i % domains));
         vm.region = region_name("r" + std::to_string(i % domains / 2));
         m_members[vm.key] = {{}, {"10.0.0.1", static_cast<std::uint16_t>(1000 + i)}, vm.domain, vm.region, 1, false};
     }
-    for (int i = 0; i < vms; ++i) {
-        auto& vm = *m_vms[static_cast<std::size_t>(i)];
-        state_publisher::hooks hooks;
-        hooks.encode = encode_peer_batch;
-        hooks.answer = [&vm](std::vector<request_key> const& keys, follower_answer const& answer) {
-            for (auto const key : keys) {
-                auto const found = vm.waiting.find(key.value());
-                if (found == vm.waiting.end()) continue;
-                auto const reply = std::move(found->second);
-                vm.waiting.erase(found);
-                reply({answer.status, "", answer.batch});
-            }
-        };
-        hooks.run_at = [this](time_point when, std::function<void()> task) { m_todo.at(when, std::move(task)); };
-        hooks.now = [this] { return m_todo.now(); };
-        vm.publisher = std::make_unique<state_publisher>(vm.mirror, std::move(hooks));
-        feed_io io;
-        io.call = [this, i, &vm](feed_call const& call, feed_io::reply_hook const& done) {
-            auto const number = ++vm.call;
-            deliver(i, call, [&vm, number, done](feed_reply reply) {
-                if (number == vm.call) done(std::move(reply));
-            });
-        };
-        io.ask = [this, i](feed_call const& call, feed_io::reply_hook const& done) { deliver(i, call, done); };
-        io.now = [this] { return m_todo.now(); };
-        io.run_at = [this](time_point when, std::function<void()> task) {
-            m_todo.at(std::max(when, m_todo.now()), std::move(task));
-        };
-        feed_events events;
-        events.on_snapshot = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.replace(items, as_of); };
-        events.on_changes = [&vm](auto const& items, std::int64_t as_of) { vm.mirror.apply(items, as_of); };
-        events.on_failed = [](feed_source const&, char const*) {};
-        events.on_answered = [&vm](feed_source const& source, time_point at, auto const& path) {
-            vm.publisher->on_confirmed(source, at, path);
-        };
-        events.on_heard = [](feed_source const&, milliseconds) {};
-        events.on_store_era = [](store_era, std::int64_t) {};
-        events.on_search = [&vm](bool searching) { vm.publisher->set_searching(searching); };
-        events.members = [this]() -> member_map const& { return m_members; };
-        feed_place const place{{"10.9.9.9", 1}, vm.key, vm.domain, vm.region, {}};
-        vm.feed = std::make_unique<state_feed>(feed_selector(place, m_random()), std::move(io), std::move(events));
-        vm.feed->start();
-    }
+    for (int i = 0; i < vms; ++i)
+        start(i);
+}
+
+void feed_fleet::start(int i)
+{
+    auto& vm = *m_vms[static_cast<std::size_t>(i)];
+    state_publisher::hooks hooks;
+    hooks.encode = encode_peer_batch;
+    hooks.answer = [&vm](std::vector<request_key> const& keys, follower_answer const& answer) {
+        for (auto const key : keys) {
+            auto const found = vm.waiting.find(key.value());
+            if (found == vm.waiting.end()) continue;
+            auto const reply = std::move(found->second);
+            vm.waiting.erase(found);
+            reply({answer.status, "", answer.batch});
+        }
+    };
+    hooks.run_at = [this](time_point when, std::function<void()> task) { m_todo.at(when, std::move(task)); };
+    hooks.now = [this] { return m_todo.now(); };
+    vm.publisher = std::make_unique<state_publisher>(vm.mirror, std::move(hooks));
+    feed_io io;
+    io.call = [this, i, &vm](feed_call const& call, feed_io::reply_hook const& done) {
+        auto const number = ++vm.call;
+        deliver(i, call, [&vm, number, done](feed_reply reply) {
+            if (number == vm.call) done(std::move(reply));
+        });
+    };
+    io.ask = [this, i](feed_call const& call, feed_io::reply_hook const& done) { deliver(i, call, done); };
+    io.now = [this] { return m_todo.now(); };
+    io.run_at = [this](time_point when, std::function<void()> task) {
+        m_todo.at(std::max(when, m_todo.now()), std::move(task));
+    };
+    feed_events events;
+    events.on_snapshot = [&vm](auto const& items, store_position as_of) { vm.mirror.replace(items, as_of); };
+    events.on_changes = [&vm](auto const& items, store_position as_of) { vm.mirror.apply(items, as_of); };
+    events.on_failed = [](feed_source const&, char const*) {};
+    events.on_answered = [&vm](feed_source const& source, time_point at, auto const& path) {
+        vm.publisher->on_confirmed(source, at, path);
+    };
+    events.on_heard = [](feed_source const&, milliseconds) {};
+    events.on_search = [&vm](bool searching) { vm.publisher->set_searching(searching); };
+    events.members = [this]() -> member_map const& { return m_members; };
+    feed_place const place{{"10.9.9.9", 1}, vm.key, vm.domain, vm.region, {}};
+    vm.feed = std::make_unique<state_feed>(feed_selector(place, m_random()), std::move(io), std::move(events));
+    vm.feed->start();
 }
 
 feed_fleet::~feed_fleet() = default;
 
 void feed_fleet::write(std::string const& key, std::string const& value)
 {
-    ++m_revision;
-    m_store.apply({{key, value, m_revision, false}}, m_revision);
+    ++m_position.revision;
+    m_store.apply({{key, value, m_position, false}}, m_position);
     answer_store_watches();
 }
 
+void feed_fleet::copy_store() { m_copy = m_store; }
+
+void feed_fleet::return_to_copy()
+{
+    std::vector<store_item> items;
+    m_position = {store_era(++m_era), m_copy.as_of().revision};
+    for (auto const& [key, item] : m_copy.items())
+        items.push_back({key, item.value, {m_position.era, item.position.revision}, false});
+    m_store = state_mirror();
+    m_store.replace(items, m_position);
+    m_copy = m_store;
+    m_watches.clear();
+}
+
+void feed_fleet::restart(int vm)
+{
+    auto& place = m_vms[static_cast<std::size_t>(vm)];
+    auto next = std::make_unique<vm_state>();
+    next->key = place->key;
+    next->domain = place->domain;
+    next->region = place->region;
+    place->dark = darkness::silent;
+    m_ended.push_back(std::exchange(place, std::move(next)));
+    start(vm);
+}
+
+bool feed_fleet::all_know_the_store() const
+{
+    auto const same = [this](int vm) {
+        auto const& known = m_vms[static_cast<std::size_t>(vm)]->mirror.items();
+        auto const& held = m_store.items();
+        return std::equal(known.begin(), known.end(), held.begin(), held.end(),
+                          [](auto const& left, auto const& right) {
+                              return left.first == right.first && left.second.value == right.second.value;
+                          });
+    };
+    auto const all = live();
+    return std::all_of(all.begin(), all.end(), same);
+}
+
 std::vector<feed_fleet::vm_state*> feed_fleet::draw(double share)
 {
     std::vector<vm_state*> drawn;
@@ -180,17 +222,27 @@
     return std::all_of(all.begin(), all.end(), [&](int vm) { return known(vm, key) == value; });
 }
 
-milliseconds feed_fleet::time_until_known(std::string const& key, std::string const& value, milliseconds limit)
+milliseconds feed_fleet::time_until(std::function<bool()> const& holds, milliseconds limit)
 {
     constexpr milliseconds step{10};
     milliseconds taken{0};
-    while (taken < limit && !all_know(key, value)) {
+    while (taken < limit && !holds()) {
         run(step);
         taken += step;
     }
     return taken;
 }
 
+milliseconds feed_fleet::time_until_known(std::string const& key, std::string const& value, milliseconds limit)
+{
+    return time_until([&] { return all_know(key, value); }, limit);
+}
+
+milliseconds feed_fleet::time_until_all_known(milliseconds limit)
+{
+    return time_until([this] { return all_know_the_store(); }, limit);
+}
+
 milliseconds feed_fleet::oldest_copy() const
 {
     milliseconds oldest{0};
@@ -251,17 +303,20 @@
     ++m_store_calls;
     if (vm.store_dark == darkness::refused) return reply({503, "", {}});
     if (call.question == feed_question::read) {
-        auto const after_revision = call.page.empty() ? 0 : std::stoll(call.page);
-        after(store_time, [this, reply, after_revision] { reply({200, "", m_store.page_after(after_revision)}); });
+        auto const from = parse_position(call.page).value_or(store_position());
+        after(store_time, [this, reply, from] { reply({200, "", m_store.page_after(from)}); });
         return;
     }
-    auto changes = m_store.changes_after(call.after);
+    // The store knows revisions only: one of an earlier era is taken for its own, when it has come so far again.
+    store_position const known{m_position.era, call.after.revision};
+    if (known > m_position) return reply({410, "", {}});
+    auto changes = m_store.changes_after(known);
     bool const waits = call.question == feed_question::watch && changes && changes->items.empty();
     if (!waits) return reply(changes ? feed_reply{200, "", *changes} : feed_reply{410, "", {}});
     auto const open = std::make_shared<bool>(true);
-    m_watches.push_back({call.after, reply, open});
+    m_watches.push_back({known, reply, open});
     after(call.wait, [this, open, reply] {
-        if (std::exchange(*open, false)) reply({200, "", {{}, m_revision, {}, {}, {}}});
+        if (std::exchange(*open, false)) reply({200, "", {{}, m_position, {}, {}, {}}});
     });
 }
 
@@ -281,9 +336,9 @@
     peer.waiting[key.value()] = [this, &peer, reply](feed_reply const& result) {
         if (peer.dark != darkness::silent) reply(result);
     };
-    auto const after_revision =
-        call.question == feed_question::read && !call.page.empty() ? std::stoll(call.page) : call.after;
-    peer.publisher->ask(key, {call.question, m_vms[static_cast<std::size_t>(from)]->key, after_revision, call.wait});
+    auto const known =
+        call.question == feed_question::read ? parse_position(call.page).value_or(store_position()) : call.after;
+    peer.publisher->ask(key, {call.question, m_vms[static_cast<std::size_t>(from)]->key, known, call.wait});
 }
 
 } // namespace cornelspring::testing
--- a/tests/feed_fleet.hpp
+++ b/tests/feed_fleet.hpp
@@ -25,6 +25,16 @@
     void run(milliseconds span) { m_todo.run_until(m_todo.now() + span); }
     /** Writes a key into the store. @param key key. @param value value. */
     void write(std::string const& key, std::string const& value);
+    /** Keeps a copy of what the store holds. */
+    void copy_store();
+    /** The store loses what was written since the copy was made, and the watches that wait. */
+    void return_to_copy();
+    /** Gateway @p vm ends and starts anew, with nothing known. */
+    void restart(int vm);
+    /** @return whether every gateway that is not dark knows exactly what the store holds. */
+    bool all_know_the_store() const;
+    /** Lets time pass until all_know_the_store(). @return how long it took, at most @p limit. */
+    milliseconds time_until_all_known(milliseconds limit);
     /** Turns a share of the gateways dark: others get no (good) answer from them, and with refused and silent they
      *  hear nothing themselves. @param share share. @param how how. */
     void darken(double share, darkness how);
@@ -54,6 +64,10 @@
 
 private:
     struct vm_state;
+    /** Starts gateway @p vm. */
+    void start(int vm);
+    /** Lets time pass until @p holds. @return how long it took, at most @p limit. */
+    milliseconds time_until(std::function<bool()> const& holds, milliseconds limit);
     /** Runs @p task after @p wait. */
     void after(clock::duration wait, std::function<void()> task) { m_todo.at(m_todo.now() + wait, std::move(task)); }
     /** @return a random share of the gateways. */
@@ -71,16 +85,19 @@
 
     /** A watch that waits at the store. */
     struct store_watch {
-        std::int64_t after;                     ///< Revision known.
+        store_position after;                   ///< What it knows.
         std::function<void(feed_reply)> answer; ///< Answers it.
         std::shared_ptr<bool> open;             ///< Still waits.
     };
 
     agenda m_todo;
     state_mirror m_store;
-    std::int64_t m_revision = 1;
+    state_mirror m_copy;
+    store_position m_position{store_era(1), 1};
+    std::int64_t m_era = 1;
     std::vector<store_watch> m_watches;
     std::vector<std::unique_ptr<vm_state>> m_vms;
+    std::vector<std::unique_ptr<vm_state>> m_ended; ///< Their last calls may still be on the way.
     member_map m_members;
     std::mt19937_64 m_random;
     std::int64_t m_store_calls = 0;
--- a/tests/test_connection_plan.cpp
+++ b/tests/test_connection_plan.cpp
@@ -68,7 +68,7 @@
     }
     SUBCASE("as its failure domain is evacuated")
     {
-        places.evacuated().begin(domain_name("d"), 1, now);
+        places.evacuated().begin(domain_name("d"));
         CHECK(planned() == std::vector<std::string>{"g0c"});
     }
     SUBCASE("as it failed just now, until it is tried again")
--- a/tests/test_gateway_state.cpp
+++ b/tests/test_gateway_state.cpp
@@ -19,6 +19,9 @@
             false};
 }
 
+/** @return the position of @p revision in an era. */
+store_position at(std::int64_t revision, std::int64_t era = 1) { return {store_era(era), revision}; }
+
 /** @return ports of @p addresses, sorted. */
 std::set<int> ports(std::vector<endpoint> const& addresses)
 {
@@ -39,23 +42,71 @@
 TEST_CASE("mirror: followers get the differences of a complete re-read as changes")
 {
     state_mirror mirror;
-    CHECK(mirror.replace({{"a", "1", 5, false}, {"b", "1", 6, false}}, 7).size() == 2);
-    CHECK_FALSE(mirror.changes_after(6));
-    REQUIRE(mirror.changes_after(7));
-    CHECK(mirror.changes_after(7)->items.empty());
-    mirror.apply({{"c", "1", 8, false}}, 8);
-    auto const differences = mirror.replace({{"a", "1", 5, false}, {"c", "2", 12, false}}, 15);
+    CHECK(mirror.replace({{"a", "1", at(5), false}, {"b", "1", at(6), false}}, at(7)).size() == 2);
+    CHECK_FALSE(mirror.changes_after(at(6)));
+    REQUIRE(mirror.changes_after(at(7)));
+    CHECK(mirror.changes_after(at(7))->items.empty());
+    mirror.apply({{"c", "1", at(8), false}}, at(8));
+    auto const differences = mirror.replace({{"a", "1", at(5), false}, {"c", "2", at(12), false}}, at(15));
     REQUIRE(differences.size() == 2);
     CHECK(differences[0].key == "c");
     CHECK(differences[1].key == "b");
     CHECK(differences[1].removed);
-    auto const changes = mirror.changes_after(8);
+    auto const changes = mirror.changes_after(at(8));
     REQUIRE(changes);
     REQUIRE(changes->items.size() == 2);
     CHECK(changes->items[0].key == "c");
     CHECK(changes->items[1].key == "b");
     CHECK(changes->items[1].removed);
-    CHECK(mirror.as_of() == 15);
+    CHECK(mirror.as_of() == at(15));
+}
+
+TEST_CASE(
+    "mirror: changes of a later era are taken in whatever their revisions, and followers of an earlier one read anew")
+{
+    state_mirror mirror;
+    mirror.replace({{"same", "1", at(5), false}, {"config", "3", at(60), false}, {"lost", "1", at(61), false}}, at(63));
+    auto const differences =
+        mirror.replace({{"same", "1", at(5, 2), false}, {"config", "1", at(55, 2), false}}, at(58, 2));
+    REQUIRE(differences.size() == 2);
+    CHECK(differences[0].value == "1");
+    CHECK(differences[1].key == "lost");
+    CHECK(differences[1].removed);
+    CHECK(mirror.as_of() == at(58, 2));
+    CHECK_FALSE(mirror.changes_after(at(63)));
+    CHECK(mirror.has_changes_after(at(63)));
+    CHECK(mirror.apply({{"config", "4", at(59, 2), false}}, at(59, 2)).size() == 1);
+    CHECK(mirror.items().at("config").value == "4");
+    REQUIRE(mirror.changes_after(at(58, 2)));
+    CHECK(mirror.changes_after(at(58, 2))->items.size() == 1);
+    auto const all = mirror.page_after({});
+    CHECK(all.items.size() == 2);
+    for (auto const& item : all.items)
+        CHECK(item.position.era == store_era(2));
+}
+
+TEST_CASE("positions in the store's history are read as they were written")
+{
+    CHECK(parse_position(at(63, 2).to_string()) == at(63, 2));
+    CHECK(at(60, 2) > at(63, 1));
+    for (char const* text : {"", "7", "7.", ".7", "x.1"})
+        CHECK_FALSE(parse_position(text));
+}
+
+TEST_CASE("what is missing after a return to an older copy is held back, unless it is written again")
+{
+    missing_items missing;
+    time_point const now{100s};
+    auto const taken =
+        missing.hold({{"a", "", at(9, 2), true}, {"b", "2", at(8, 2), false}, {"c", "", at(9, 2), true}}, now + 2s);
+    REQUIRE(taken.size() == 1);
+    CHECK(taken[0].key == "b");
+    CHECK(missing.take_due(now + 1s).empty());
+    missing.forget("a");
+    auto const due = missing.take_due(now + 2s);
+    REQUIRE(due.size() == 1);
+    CHECK(due[0].key == "c");
+    CHECK(missing.take_due(now + 2s).empty());
 }
 
 TEST_CASE("feed: two heads of failure domains read the store, the other heads follow one of them")
--- a/tests/test_places.cpp
+++ b/tests/test_places.cpp
@@ -110,7 +110,7 @@
 TEST_CASE_FIXTURE(places_fixture, "places: an evacuated failure domain gets nothing new until it is taken back")
 {
     configure({});
-    places.evacuated().begin(domain_name("d"), 7, now);
+    places.evacuated().begin(domain_name("d"));
     start("/gather/x", "id");
     CHECK(reached() == std::set<std::string>{"g0c", "g1c", "g2c", "g3c"});
     SUBCASE("what was under way there may end")
@@ -119,13 +119,13 @@
         sent.clear();
         auto const key = start("/plain/x", "id2");
         REQUIRE(reached() == std::set<std::string>{"sa"});
-        places.evacuated().begin(domain_name("d"), 9, now);
+        places.evacuated().begin(domain_name("d"));
         respond(0, 200, "body");
         CHECK(answer(key).status == 200);
     }
     SUBCASE("a second evacuation in series leaves nothing, and callers are told at once")
     {
-        places.evacuated().begin(domain_name("e"), 8, now);
+        places.evacuated().begin(domain_name("e"));
         auto const key = start("/plain/x", "id2");
         CHECK(answer(key).status == 503);
         CHECK(finished.back().evacuated == 1);
@@ -160,7 +160,7 @@
 TEST_CASE_FIXTURE(places_fixture, "places: the servers of a domain whose evacuation has just ended count as cold")
 {
     configure({region_name("r")}, 4);
-    places.evacuated().begin(domain_name("d"), 7, now);
+    places.evacuated().begin(domain_name("d"));
     advance(2000ms);
     places.evacuated().end(domain_name("d"), now);
     for (int i = 0; i < 20; ++i)
--- a/tests/test_state_feed.cpp
+++ b/tests/test_state_feed.cpp
@@ -12,6 +12,9 @@
 /** Largest number of changes that a gateway misses in the outages played here. */
 constexpr int many_changes = 2500;
 
+/** @return the position of @p revision in the first era. */
+store_position at(std::int64_t revision) { return {store_era(1), revision}; }
+
 /** @return a fleet in which everybody knows the first configuration. */
 std::unique_ptr<feed_fleet> calm_fleet(int vms, int domains, std::uint64_t seed)
 {
@@ -133,7 +136,7 @@
 TEST_CASE("feed: a follower that waits for its turn is told what changed, never that nothing did")
 {
     state_mirror mirror;
-    mirror.replace({}, 1);
+    mirror.replace({}, at(1));
     time_point now{};
     std::vector<std::pair<time_point, std::function<void()>>> tasks;
     std::map<std::uint64_t, follower_answer> answers;
@@ -149,8 +152,8 @@
     publisher.set_uplink(100e3);
     publisher.on_confirmed({"", {"10.9.9.9", 1}}, now, {});
     for (std::uint64_t key = 1; key <= 3; ++key)
-        publisher.ask(request_key(key), {feed_question::watch, "g", 1, 100ms});
-    mirror.apply({{"k", "v", 2, false}}, 2);
+        publisher.ask(request_key(key), {feed_question::watch, "g", at(1), 100ms});
+    mirror.apply({{"k", "v", at(2), false}}, at(2));
     publisher.on_confirmed({"", {"10.9.9.9", 1}}, now, {});
     CHECK(answers.size() == 1); // The next turn comes when half of the link has carried the first answer.
     for (int step = 0; step < 40; ++step) {
@@ -231,61 +234,153 @@
     }
 }
 
+namespace {
+
+/** Writes @p count keys that are lost when the store returns to its copy. */
+void write_lost(feed_fleet& fleet, int count)
+{
+    for (int i = 0; i < count; ++i)
+        fleet.write("lost/" + std::to_string(i), "x");
+    fleet.write("config", "lost");
+    fleet.run(2s);
+    REQUIRE(fleet.all_know("config", "lost"));
+}
+
+/** The store is away for @p away and back with its copy. */
+void return_to_copy(feed_fleet& fleet, milliseconds away)
+{
+    fleet.cut_from_store(1, darkness::refused);
+    fleet.run(away);
+    fleet.return_to_copy();
+    fleet.heal();
+}
+
+/** From its return on, a store is known within this: a pause between searches, a full read and the chain of followers
+ *  at each of which the watch that waits ends first. */
+constexpr milliseconds restored_bound{3000};
+
+} // namespace
+
+TEST_CASE("feed: what a store that returned to an older copy holds, and what is written then, reaches every gateway")
+{
+    for (int const vms : {7, 78, 300}) {
+        for (int const lost : {1, 5, 40}) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                INFO("vms ", vms, " lost ", lost, " seed ", seed);
+                auto const fleet = calm_fleet(vms, vms < 10 ? 3 : 6, seed);
+                fleet->copy_store();
+                write_lost(*fleet, lost);
+                return_to_copy(*fleet, 2500ms);
+                CHECK(fleet->time_until_all_known(10s).count() <= restored_bound.count());
+                fleet->write("config", "2");
+                CHECK(fleet->time_until_all_known(10s).count() <= 2500);
+                // The revision that the gateways knew names something else now.
+                for (int i = 0; i < lost + 2; ++i)
+                    fleet->write("again/" + std::to_string(i), "y");
+                CHECK(fleet->time_until_all_known(10s).count() <= 2500);
+            }
+        }
+    }
+}
+
+TEST_CASE("feed: gateways cut off while the store returns to a copy, twice, learn what it holds when they are back")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (auto const how : {darkness::silent, darkness::refused, darkness::stale}) {
+            INFO("seed ", seed, " how ", static_cast<int>(how));
+            auto const fleet = calm_fleet(78, 6, seed);
+            fleet->copy_store();
+            write_lost(*fleet, 5);
+            fleet->darken(0.35, how);
+            for (int times = 0; times < 2; ++times) {
+                fleet->return_to_copy();
+                fleet->run(1s);
+                fleet->write("config", "after " + std::to_string(times));
+                // As many revisions as before the return: a gateway that was away finds its own one again.
+                for (int i = 0; i < 5; ++i)
+                    fleet->write("again/" + std::to_string(i), std::to_string(times));
+            }
+            CHECK(fleet->time_until_all_known(10s).count() <= 5000);
+            fleet->heal();
+            CHECK(fleet->time_until_all_known(10s).count() <= 5000);
+        }
+    }
+}
+
+TEST_CASE("feed: gateways that restart around a return of the store to a copy know what it holds")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed ", seed);
+        auto const fleet = calm_fleet(78, 6, seed);
+        fleet->copy_store();
+        write_lost(*fleet, 5);
+        for (int vm = 0; vm < 6; ++vm)
+            fleet->restart(vm); // The heads of all failure domains among them.
+        fleet->run(300ms);
+        return_to_copy(*fleet, 500ms);
+        for (int vm = 3; vm < 9; ++vm)
+            fleet->restart(vm);
+        fleet->run(200ms);
+        fleet->write("config", "2");
+        CHECK(fleet->time_until_all_known(10s).count() <= restored_bound.count());
+    }
+}
+
 TEST_CASE("mirror: an older change never replaces a newer one")
 {
     state_mirror mirror;
-    mirror.replace({{"a", "1", 5, false}}, 7);
-    CHECK(mirror.apply({{"a", "3", 9, false}}, 9).size() == 1);
-    CHECK(mirror.apply({{"a", "2", 8, false}}, 9).empty());
+    mirror.replace({{"a", "1", at(5), false}}, at(7));
+    CHECK(mirror.apply({{"a", "3", at(9), false}}, at(9)).size() == 1);
+    CHECK(mirror.apply({{"a", "2", at(8), false}}, at(9)).empty());
     CHECK(mirror.items().at("a").value == "3");
 }
 
 TEST_CASE("mirror: followers are told the newest state of each key, by pages")
 {
     state_mirror mirror;
-    mirror.replace({}, 1);
+    mirror.replace({}, at(1));
     std::int64_t revision = 1;
     for (int turn = 0; turn < 3; ++turn) {
         for (int i = 0; i < 600; ++i) {
             ++revision;
-            mirror.apply({{"k" + std::to_string(i), std::string(200, 'x'), revision, false}}, revision);
+            mirror.apply({{"k" + std::to_string(i), std::string(200, 'x'), at(revision), false}}, at(revision));
         }
     }
-    std::int64_t at = 1;
+    auto position = at(1);
     std::size_t items = 0;
     int pages = 0;
     for (;; ++pages) {
-        auto const batch = mirror.changes_after(at);
+        auto const batch = mirror.changes_after(position);
         REQUIRE(batch);
         items += batch->items.size();
-        at = batch->as_of;
+        position = batch->as_of;
         if (batch->next.empty()) break;
         CHECK(batch->items.size() * 200 < 2 * state_mirror::page_bytes);
     }
     CHECK(items == 600);
-    CHECK(at == revision);
+    CHECK(position == at(revision));
     CHECK(pages >= 2);
 }
 
 TEST_CASE("peer codec: an answer is read as it was written, and one that is not what it says is refused")
 {
     auto const codec = make_peer_codec("g/1");
-    store_batch batch{{}, 900, "7", 250ms, {"g/2", "g/3"}};
+    store_batch batch{{}, at(900), "1.7", 250ms, {"g/2", "g/3"}};
     for (int i = 0; i < 300; ++i)
-        batch.items.push_back({"servers/" + std::to_string(i), "value " + std::to_string(i), i + 1, i % 7 == 0});
+        batch.items.push_back({"servers/" + std::to_string(i), "value " + std::to_string(i), at(i + 1), i % 7 == 0});
     http_response response;
     response.body = encode_peer_batch(batch);
     auto const read = codec.parse_batch(response);
-    CHECK(read.as_of == 900);
-    CHECK(read.next == "7");
+    CHECK(read.as_of == at(900));
+    CHECK(read.next == "1.7");
     CHECK(read.age == 250ms);
     CHECK(read.path == batch.path);
     REQUIRE(read.items.size() == 300);
     CHECK(read.items[299].value == "value 299");
     CHECK(read.items[7].removed);
     auto const whole = response.body;
-    for (std::size_t at = 0; at < whole.size(); at += 97) {
-        response.body = whole.substr(0, at);
+    for (std::size_t size = 0; size < whole.size(); size += 97) {
+        response.body = whole.substr(0, size);
         CHECK_THROWS(codec.parse_batch(response));
     }
     auto const size_at = whole.find("bytes") + 6; // The high byte of the size before deflating.
