Registry: an old copy of its entry does not bring back a backend server that has gone

When the store comes back from an older copy, it holds entries of servers that were removed since, and that of a drained server says again that it is ready. A removed server was remembered by its start only, so that such an entry made it known again: requests go to an address that may be another service's, until the entry lapses.

The count of the last entry is remembered too; an entry of the same start counts only when it is later. Test first: entries: an old copy ... failed (3 of 4 checks) before the change.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -322,8 +322,13 @@
     time_point m_lapses_until;                                                   ///< Removals until then may be lapses.
     std::unordered_map<std::string, std::unique_ptr<service_group>> m_groups;    ///< By service name.
     std::unordered_map<std::string, std::shared_ptr<backend_server>> m_backends; ///< By id.
-    std::unordered_map<std::string, start_time> m_ended;                         ///< Last start of removed ones, by id.
-    std::deque<std::string> m_ended_order;                                       ///< Their ids, oldest removal first.
+    /** The last that was known of a backend server that was removed. */
+    struct ended_server {
+        start_time started;        ///< Its start.
+        std::int64_t sequence = 0; ///< Count of its last entry.
+    };
+    std::unordered_map<std::string, ended_server> m_ended; ///< Removed ones, by id.
+    std::deque<std::string> m_ended_order;                 ///< Their ids, oldest removal first.
 };
 
 /** Settings of replica choice. */
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -92,13 +92,17 @@
 bool backend_registry::outdated(backend_entry const& entry) const
 {
     auto const known = m_backends.find(entry.id.value());
+    bool const counted = entry.started != start_time();
     if (known == m_backends.end()) {
         auto const ended = m_ended.find(entry.id.value());
-        return ended != m_ended.end() && entry.started < ended->second;
+        if (ended == m_ended.end()) return false;
+        auto const& last = ended->second;
+        // A store that comes back from an older copy holds entries of servers that have gone since.
+        if (entry.started == last.started) return counted && entry.sequence <= last.sequence;
+        return entry.started < last.started;
     }
     auto const& last = known->second->entry;
     if (entry.started != last.started) return entry.started < last.started;
-    bool const counted = entry.started != start_time();
     return counted && entry.sequence < last.sequence;
 }
 
@@ -147,7 +151,8 @@
         if (!server.lapsed_until) server.lapsed_until = m_lapses_until;
         return true;
     }
-    if (m_ended.insert_or_assign(id.value(), server.entry.started).second) m_ended_order.push_back(id.value());
+    ended_server const last{server.entry.started, server.entry.sequence};
+    if (m_ended.insert_or_assign(id.value(), last).second) m_ended_order.push_back(id.value());
     if (m_ended_order.size() > ended_kept) {
         m_ended.erase(m_ended_order.front());
         m_ended_order.pop_front();
--- a/tests/test_backend_entries.cpp
+++ b/tests/test_backend_entries.cpp
@@ -89,6 +89,16 @@
     CHECK_FALSE(registry.find(backend_id("b"))->draining_since);
 }
 
+TEST_CASE("entries: an old copy of its entry does not bring back a backend server that has gone")
+{
+    auto registry = registry_with(entry_of(1000, 50, true));
+    registry.remove(backend_id("b"), start);
+    CHECK_FALSE(registry.apply(entry_of(1000, 48), start));
+    CHECK_FALSE(registry.apply(entry_of(1000, 50, true), start));
+    CHECK(registry.find(backend_id("b")) == nullptr);
+    CHECK(registry.apply(entry_of(1000, 51), start)); // It lives, and its entry had only lapsed.
+}
+
 TEST_CASE("entries: without a start, entries hold as they come")
 {
     auto registry = registry_with(entry_of(0, 50));
