--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -113,6 +113,9 @@
         self.outcomes = {}  # id of a write -> status or "cut"
         self.cuts = []  # (id, gateway, time): a connection that ended without an answer
         self.drained = {}  # backend -> time it was drained
+        self.written = {}  # key -> value, what operators and backend servers keep in the store
+        self.restored = asyncio.Event()  # Unset while the store is away and comes back from a copy.
+        self.restored.set()
         self.cold = set()  # backends that say that they are cold
         self.net = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}."
 
@@ -157,6 +160,7 @@
         return await call(self.store_port, "POST", f"/stand-in/{path}", body)
 
     async def configure(self, shards):
+        await self.restored.wait()
         self.config_version += 1
         base = {"hostname": HOST, "timeout_ms": 2000, "goal_ms": 400, "priority": 1, "attempts": 2}
         routes = [{**base, "name": "q", "prefix": "/q/", "route_type": "idempotent", "gather": shards, "top_k": 4,
@@ -171,9 +175,21 @@
                   "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 2000,
                              "idle_timeout_ms": 5000}}
         self.configs[self.config_version] = (shards, float("inf"))
-        await self.store("put", {"key": "op/config", "value": config})
+        await self.write("op/config", config)
         self.configs[self.config_version] = (shards, time.monotonic())
 
+    async def write(self, key, value):
+        """Writes what an operator or a backend server writes, and knows it for the store's return to a copy."""
+        await self.restored.wait()
+        self.written[key] = value
+        await self.store("put", {"key": key, "value": value})
+
+    async def drop(self, key):
+        """Removes what an operator wrote."""
+        await self.restored.wait()
+        self.written.pop(key, None)
+        await self.store("drop", {"key": key})
+
     async def begin(self):
         self.begun = time.monotonic()
         self.store_port = await self.start_with_port("store", "cornel-stand-in", "store")
@@ -188,7 +204,7 @@
             await proxy.start()
         self.entries = {name: {**entry, "address": f"127.0.0.1:{self.proxies[name].port}"} for name, entry in entries.items()}
         for name, entry in self.entries.items():
-            await self.store("put", {"key": f"servers/{name}", "value": entry})
+            await self.write(f"servers/{name}", entry)
         await self.configure(SHARDS)
         for number in range(1, self.gateway_count + 1):
             self.start_gateway(number)
@@ -338,12 +354,44 @@
         await asyncio.sleep(for_s)
         await self.store("fault", {"mode": "ok", "deaf_watches": False, "lose_writes": 0})
 
+    async def return_to_copy(self):
+        """The store is away and comes back from a copy some seconds old; operators and servers write again."""
+        if not self.restored.is_set():
+            return
+        await self.store("copy", {})
+        await asyncio.sleep(self.random.uniform(0.2, 4))
+        if not self.restored.is_set():
+            return
+        self.restored.clear()
+        for_s, again_s = self.random.uniform(0.1, 2), self.random.uniform(0, 1.5)
+        self.disturb("store", for_s + again_s + 3)
+        await self.store("fault", {"mode": self.random.choice(["busy", "silent"])})
+        await asyncio.sleep(for_s)
+        if self.random.random() < 0.3:
+            await self.store("restore", {})  # Twice in a row.
+        await self.store("restore", {})
+        await self.store("fault", {"mode": "ok", "deaf_watches": False, "lose_writes": 0})
+        await asyncio.sleep(again_s)
+        await self.write_again()
+        self.stats["returns to a copy"] += 1
+        self.restored.set()
+
+    async def write_again(self):
+        """Puts right what the copy has of operators and backend servers."""
+        _, held = await self.store("keys", {})
+        for key in held:
+            if key.startswith(("op/", "servers/")) and key not in self.written:
+                await self.store("drop", {"key": key})
+        for key, value in self.written.items():
+            if key not in held or json.loads(held[key]) != value:
+                await self.store("put", {"key": key, "value": value})
+
     async def change_config(self):
         await self.configure(self.random.sample(SHARDS, self.random.randint(3, len(SHARDS))))
 
     async def drain_backend(self):
         name = self.random.choice([each for each in self.entries if each not in {*self.drained, *self.cold}])
-        await self.store("put", {"key": f"servers/{name}", "value": {**self.entries[name], "state": "draining"}})
+        await self.write(f"servers/{name}", {**self.entries[name], "state": "draining"})
         at = time.monotonic()
         self.drained[name] = at
         await asyncio.sleep(DRAIN_S + 2)
@@ -352,7 +400,7 @@
             late = [e for e in journal if e["backend"] == name and e["at_ms"] / 1000 > at + DRAIN_S]
             if late:
                 self.violation(f"{name} drained at {at - self.begun:.3f} got {len(late)} requests after {DRAIN_S} s")
-        await self.store("put", {"key": f"servers/{name}", "value": self.entries[name]})
+        await self.write(f"servers/{name}", self.entries[name])
         del self.drained[name]
 
     def calm_since(self, at):
@@ -365,7 +413,7 @@
             return
         self.evacuation_runs = True
         domain = self.random.choice(["d1", "d2"])
-        await self.store("put", {"key": f"op/evacuate/{domain}", "value": {}})
+        await self.write(f"op/evacuate/{domain}", {})
         at = time.monotonic()
         await asyncio.sleep(EVACUATE_S + 3)
         _, journal = await call(self.backends_port, "POST", "/journal", {})
@@ -373,7 +421,7 @@
                 if self.entries[e["backend"]]["zone"] == domain and e["at_ms"] / 1000 > at + EVACUATE_S]
         if late and self.calm_since(at):
             self.violation(f"{domain}, evacuated at {at - self.begun:.3f}, got {len(late)} requests after {EVACUATE_S} s")
-        await self.store("drop", {"key": f"op/evacuate/{domain}"})
+        await self.drop(f"op/evacuate/{domain}")
         self.stats["evacuations"] += 1
         self.evacuation_runs = False
 
@@ -383,7 +431,7 @@
         if name in self.cold:
             return
         self.cold.add(name)
-        await self.store("put", {"key": f"servers/{name}", "value": {**self.entries[name], "warmup_left_ms": COLD_S * 1000}})
+        await self.write(f"servers/{name}", {**self.entries[name], "warmup_left_ms": COLD_S * 1000})
         at = time.monotonic()
         await asyncio.sleep(COLD_S)
         _, journal = await call(self.backends_port, "POST", "/journal", {})
@@ -392,7 +440,7 @@
         most = max((sum(begin <= each < begin + 1 for each in times) for begin in times), default=0)
         if most > COLD_BOUND and self.calm_since(at):
             self.violation(f"{name}, cold since {at - self.begun:.3f}, got {most} requests in one second")
-        await self.store("put", {"key": f"servers/{name}", "value": self.entries[name]})
+        await self.write(f"servers/{name}", self.entries[name])
         self.stats["cold servers"] += 1
         self.cold.discard(name)
 
@@ -440,7 +488,8 @@
         """Starts faults at random times; they overlap."""
         kinds = [lambda: self.fault_proxy("store"), lambda: self.fault_proxy(self.random.choice(list(self.entries))),
                  self.fault_gateway, self.fault_gateway, self.fault_backend, self.fault_backend, self.fault_store,
-                 self.change_config, self.drain_backend, self.crash_with_query, self.evacuate, self.become_cold]
+                 self.change_config, self.return_to_copy, self.drain_backend, self.crash_with_query, self.evacuate,
+                 self.become_cold]
         running, until = [], time.monotonic() + self.seconds
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(1.2))
