Entry nodes follow a store that was restored from an older copy, and register again

A restored store counts on from its copy, so that a watch waits for revisions that name other changes now, and whatever is below the known revision is ignored. The store's header names its cluster; a restored store is a new one. Another cluster leads to a full read, taken in whatever its revision, and to a new lease for the node's registration; cornel-ctl watch says RESTORED.

--- a/include/cornelspring/base.hpp
+++ b/include/cornelspring/base.hpp
@@ -46,6 +46,9 @@
 
 /** Revision of the configuration store (etcd's mod_revision); grows with every write. */
 using revision = strong_id<struct revision_tag, std::int64_t>;
+/** Id of the store's cluster; a store that is restored from an older copy begins a new cluster, and counts revisions on
+ *  from that copy. */
+using cluster_id = strong_id<struct cluster_id_tag, std::string>;
 /** Version of a back end's index; an answer comes from exactly one. */
 using index_version = strong_id<struct index_version_tag, std::int64_t>;
 /** Number of a shard within a service, from 0. */
--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -19,9 +19,23 @@
 struct watch_batch {
     std::vector<watch_event> events; ///< Changes, oldest first.
     std::int64_t revision = 0;       ///< Store revision when answered.
+    cluster_id cluster;              ///< Cluster that answered.
     bool compacted = false;          ///< The start revision is gone: read everything again.
 };
 
+/** Result of reading a prefix. */
+struct range_result {
+    std::vector<key_value> kvs; ///< Keys and values.
+    std::int64_t revision = 0;  ///< Store revision of the read.
+    cluster_id cluster;         ///< Cluster that answered.
+};
+
+/** A lease as the store granted it. */
+struct granted_lease {
+    std::int64_t id = 0; ///< Its id; 0: none.
+    cluster_id cluster;  ///< Cluster that granted it.
+};
+
 /**
  * Client of the platform store's etcd v3 JSON gateway over HTTP/2. Each call blocks its caller (a
  * background task such as the watcher); the query path never calls the store.
@@ -32,8 +46,8 @@
 public:
     /** @param client HTTP/2 client to use. @param store address of the store. @param timeout per call. */
     store_client(h2_client& client, endpoint store, milliseconds timeout);
-    /** @return keys under @p prefix and the read's revision. */
-    std::pair<std::vector<key_value>, std::int64_t> range_prefix(std::string const& prefix);
+    /** @return keys under @p prefix. */
+    range_result range_prefix(std::string const& prefix);
     /** @return the key, if present, and the read's revision. */
     std::pair<std::optional<key_value>, std::int64_t> get(std::string const& key);
     /** Writes @p key. @return the write's revision. */
@@ -50,9 +64,9 @@
      */
     txn_result put_if(std::string const& key, std::int64_t expected, std::string const& value, int tries = 5);
     /** @return a new lease with @p ttl_s seconds to live. */
-    std::int64_t grant_lease(std::int64_t ttl_s);
-    /** Renews @p lease. @throw error not_found when it lapsed. */
-    void keep_alive(std::int64_t lease);
+    granted_lease grant_lease(std::int64_t ttl_s);
+    /** Renews @p lease. @return the cluster that did. @throw error not_found when it lapsed. */
+    cluster_id keep_alive(std::int64_t lease);
     /** Ends @p lease. */
     void revoke(std::int64_t lease);
     /** Ends the calls in progress (as "unknown") by closing the connection; for stopping a task that waits. */
@@ -72,8 +86,8 @@
 /**
  * A task that keeps a config_view equal to the store: a full read, then watches from the read's
  * revision. After a failure it waits and watches again from where it was; it reads everything again only
- * when the store no longer has the history. The view's monotonic rule keeps a stale read from reverting
- * what was applied.
+ * when the store no longer has the history, or was restored from an older copy. The view's monotonic rule keeps a
+ * stale read of the same cluster from reverting what was applied.
  */
 class config_watcher {
 public:
@@ -105,7 +119,8 @@
 
 /**
  * A task that registers this entry node in the store under a lease and renews it by heartbeat. When the
- * lease lapses (the process was paused, the store was down) it grants a new one and registers again.
+ * lease lapses (the process was paused, the store was down) it grants a new one and registers again; so too when the
+ * store was restored from an older copy, which may lack the key.
  */
 class membership {
 public:
@@ -129,7 +144,7 @@
     store_client& m_store;               ///< Store.
     member m_self;                       ///< This node.
     std::int64_t m_ttl_s;                ///< Lease time to live.
-    std::int64_t m_lease = 0;            ///< Current lease, or 0.
+    granted_lease m_lease;               ///< Current lease, if any.
     bool m_registered = false;           ///< The member key was written under m_lease.
     std::atomic<bool> m_stopping{false}; ///< Set to end the task.
     std::thread m_thread;                ///< The task.
--- a/include/cornelspring/state.hpp
+++ b/include/cornelspring/state.hpp
@@ -111,6 +111,7 @@
 /** An immutable snapshot of the configuration as one entry node knows it. */
 struct config_snapshot {
     std::int64_t revision = 0;                    ///< Store revision it reflects.
+    cluster_id cluster;                           ///< Cluster of the store that counts so.
     std::map<std::string, service_spec> services; ///< Services by name.
     std::map<std::string, backend_spec> backends; ///< Back ends by name.
     std::map<std::string, route_spec> routes;     ///< Routes by name.
@@ -128,7 +129,8 @@
 
 /**
  * Holds the current snapshot for many readers and one writer (the watcher). Updates are monotonic:
- * a change at or below the revision already held is ignored, so configuration never reverts.
+ * a change at or below the revision already held is ignored, so configuration never reverts while the store's cluster
+ * is the same.
  */
 class config_view {
 public:
@@ -136,10 +138,10 @@
     std::shared_ptr<config_snapshot const> current() const;
     /**
      * Replaces the whole state by a full read made at @p at.
-     * @param kvs every key under key_prefix. @param at the read's revision.
-     * @return false (and nothing changes) when @p at is older than the revision held.
+     * @param kvs every key under key_prefix. @param at the read's revision. @param cluster the store's cluster.
+     * @return false (and nothing changes) when @p at is older than the revision held of the same cluster.
      */
-    bool reset(std::vector<key_value> const& kvs, std::int64_t at);
+    bool reset(std::vector<key_value> const& kvs, std::int64_t at, cluster_id const& cluster);
     /**
      * Applies watch events. @param events changes, oldest first. @param at the store revision they lead to.
      * @return false when nothing newer than the held revision was in them.
--- a/src/coordination/config_watcher.cpp
+++ b/src/coordination/config_watcher.cpp
@@ -39,9 +39,9 @@
     while (!m_stopping) {
         try {
             if (need_full_read) {
-                auto const [kvs, at] = m_store.range_prefix(key_prefix);
-                m_view.reset(kvs, at);
-                after = std::max(at, m_view.current()->revision);
+                auto const read = m_store.range_prefix(key_prefix);
+                m_view.reset(read.kvs, read.revision, read.cluster);
+                after = m_view.current()->revision;
                 need_full_read = false;
                 m_synced = true;
                 LOG4CPLUS_INFO(logger, "configuration read in full at revision " << after);
@@ -52,6 +52,13 @@
                 need_full_read = true;
                 continue;
             }
+            if (batch.cluster != m_view.current()->cluster) {
+                // Its revisions name other changes than those known here, and none says what was lost.
+                LOG4CPLUS_WARN(logger, "the store was restored from an older copy: known up to revision "
+                                           << after << ", now at " << batch.revision);
+                need_full_read = true;
+                continue;
+            }
             // The reply's revision says that there is no other change up to it, so the next watch starts there:
             // otherwise writes outside this prefix would push our start out of the store's history.
             std::int64_t last = std::max(after, batch.revision);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -19,22 +19,22 @@
 {
     if (m_stopping.exchange(true)) return;
     if (m_thread.joinable()) m_thread.join();
-    if (m_lease == 0) return;
+    if (m_lease.id == 0) return;
     try {
-        m_store.revoke(m_lease);
+        m_store.revoke(m_lease.id);
     } catch (error const& failure) {
         LOG4CPLUS_WARN(get_logger("entry.membership"), "cannot revoke lease: " << failure.what());
     }
-    m_lease = 0;
+    m_lease = {};
 }
 
 void membership::register_self()
 {
-    if (m_lease == 0) m_lease = m_store.grant_lease(m_ttl_s);
+    if (m_lease.id == 0) m_lease = m_store.grant_lease(m_ttl_s);
     nlohmann::json const body{{"address", m_self.address}, {"failure_domain", m_self.failure_domain}};
-    m_store.put(std::string(member_prefix) + m_self.id, body.dump(), m_lease);
+    m_store.put(std::string(member_prefix) + m_self.id, body.dump(), m_lease.id);
     m_registered = true;
-    LOG4CPLUS_INFO(get_logger("entry.membership"), "registered as " << m_self.id << " under lease " << m_lease);
+    LOG4CPLUS_INFO(get_logger("entry.membership"), "registered as " << m_self.id << " under lease " << m_lease.id);
 }
 
 void membership::run()
@@ -47,13 +47,15 @@
             try {
                 if (!m_registered) {
                     register_self();
-                } else {
-                    m_store.keep_alive(m_lease);
+                } else if (m_store.keep_alive(m_lease.id) != m_lease.cluster) {
+                    // Restored from an older copy, the store may lack the key, or have given the lease's id to another.
+                    m_lease = {};
+                    register_self();
                 }
             } catch (error const& failure) {
                 LOG4CPLUS_WARN(get_logger("entry.membership"), "heartbeat failed: " << failure.what());
                 if (failure.kind() == error_kind::not_found) {
-                    m_lease = 0;
+                    m_lease = {};
                     m_registered = false;
                 }
             }
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -19,6 +19,12 @@
     }
 }
 
+/** @return the cluster in the header of @p answer. */
+cluster_id cluster_of(nlohmann::json const& answer)
+{
+    return cluster_id(answer.at("header").value("cluster_id", std::string()));
+}
+
 } // namespace
 
 store_client::store_client(h2_client& client, endpoint store, milliseconds timeout)
@@ -53,13 +59,13 @@
     return answer;
 }
 
-std::pair<std::vector<key_value>, std::int64_t> store_client::range_prefix(std::string const& prefix)
+range_result store_client::range_prefix(std::string const& prefix)
 {
     auto const answer =
         call(store_paths::range, {{"key", base64_encode(prefix)}, {"range_end", base64_encode(prefix_end(prefix))}},
              m_timeout);
     return {answer.value("kvs", nlohmann::json::array()).get<std::vector<key_value>>(),
-            json_int64(answer.at("header").at("revision"))};
+            json_int64(answer.at("header").at("revision")), cluster_of(answer)};
 }
 
 std::pair<std::optional<key_value>, std::int64_t> store_client::get(std::string const& key)
@@ -125,15 +131,15 @@
     }
 }
 
-std::int64_t store_client::grant_lease(std::int64_t ttl_s)
+granted_lease store_client::grant_lease(std::int64_t ttl_s)
 {
-    return json_int64(
-        call(store_paths::lease_grant, {{"TTL", std::to_string(ttl_s)}, {"ID", "0"}}, m_timeout).at("ID"));
+    auto const answer = call(store_paths::lease_grant, {{"TTL", std::to_string(ttl_s)}, {"ID", "0"}}, m_timeout);
+    return {json_int64(answer.at("ID")), cluster_of(answer)};
 }
 
-void store_client::keep_alive(std::int64_t lease)
+cluster_id store_client::keep_alive(std::int64_t lease)
 {
-    call(store_paths::lease_keepalive, {{"ID", std::to_string(lease)}}, m_timeout);
+    return cluster_of(call(store_paths::lease_keepalive, {{"ID", std::to_string(lease)}}, m_timeout).at("result"));
 }
 
 void store_client::revoke(std::int64_t lease)
@@ -152,6 +158,7 @@
     auto const& result = answer.at("result");
     watch_batch batch;
     batch.revision = json_int64(result.at("header").at("revision"));
+    batch.cluster = cluster_of(result);
     batch.compacted = result.value("canceled", false);
     for (auto const& item : result.value("events", nlohmann::json::array())) {
         batch.events.push_back({item.value("type", std::string("PUT")) == "DELETE", item.at("kv").get<key_value>()});
--- a/src/coordination/write_coordinator.cpp
+++ b/src/coordination/write_coordinator.cpp
@@ -313,7 +313,7 @@
         std::lock_guard lock(m_mutex);
         if (m_lease != 0 && now < m_lease_renew) return m_lease;
     }
-    auto const granted = m_store.grant_lease(m_options.retention_s + m_options.retention_s / leases_per_retention);
+    auto const granted = m_store.grant_lease(m_options.retention_s + m_options.retention_s / leases_per_retention).id;
     std::lock_guard lock(m_mutex);
     m_lease = granted;
     m_lease_renew = now + std::chrono::seconds(std::max<std::int64_t>(1, m_options.retention_s / leases_per_retention));
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -82,8 +82,8 @@
 /** Prints every resource of a kind. */
 int list(store_client& store, resource_kind kind)
 {
-    auto const [kvs, at] = store.range_prefix(std::string(resource_prefix) + to_string(kind) + "/");
-    for (auto const& kv : kvs)
+    auto const read = store.range_prefix(std::string(resource_prefix) + to_string(kind) + "/");
+    for (auto const& kv : read.kvs)
         std::cout << describe(kv).dump() << "\n";
     return 0;
 }
@@ -118,10 +118,19 @@
     auto const max_events = config.integer("watch.max_events");
     auto const max_seconds = config.integer("watch.max_seconds");
     auto const until = clock::now() + std::chrono::seconds(max_seconds > 0 ? max_seconds : 1000000000);
-    std::int64_t after = store.range_prefix(prefix).second;
+    auto const first = store.range_prefix(prefix);
+    std::int64_t after = first.revision;
+    auto cluster = first.cluster;
     std::int64_t printed = 0;
     while (clock::now() < until && (max_events == 0 || printed < max_events)) {
         auto const batch = store.watch_prefix(prefix, after, milliseconds(1000));
+        if (batch.cluster != cluster) {
+            // What it lost has no event: whoever reads these lines must read everything again.
+            std::cout << nlohmann::json{{"type", "RESTORED"}, {"revision", batch.revision}}.dump() << std::endl;
+            cluster = batch.cluster;
+            after = batch.revision;
+            continue;
+        }
         for (auto const& event : batch.events) {
             nlohmann::json line{{"type", event.is_delete ? "DELETE" : "PUT"},
                                 {"key", event.kv.key},
--- a/src/state/config_view.cpp
+++ b/src/state/config_view.cpp
@@ -60,15 +60,16 @@
     }
 }
 
-bool config_view::reset(std::vector<key_value> const& kvs, std::int64_t at)
+bool config_view::reset(std::vector<key_value> const& kvs, std::int64_t at, cluster_id const& cluster)
 {
     auto fresh = std::make_shared<config_snapshot>();
     fresh->revision = at;
+    fresh->cluster = cluster;
     for (auto const& kv : kvs)
         apply_one(*fresh, {false, kv});
     fresh->build_routes();
     std::lock_guard lock(m_mutex);
-    if (at < m_current->revision) return false;
+    if (cluster == m_current->cluster && at < m_current->revision) return false;
     m_current = std::move(fresh);
     return true;
 }
--- a/src/store/store_service.cpp
+++ b/src/store/store_service.cpp
@@ -24,7 +24,17 @@
 
 store_service::store_service(std::size_t history_limit) : m_store(history_limit) {}
 
-nlohmann::json store_service::header() const { return {{"revision", std::to_string(m_store.revision())}}; }
+nlohmann::json store_service::header() const
+{
+    return {{"cluster_id", std::to_string(m_cluster)}, {"revision", std::to_string(m_store.revision())}};
+}
+
+void store_service::restore(time_point now)
+{
+    m_store = m_copy;
+    m_store.renew_all(now);
+    ++m_cluster;
+}
 
 nlohmann::json store_service::dispatch(std::string const& path, nlohmann::json const& body, time_point now,
                                        bool& is_write)
@@ -227,7 +237,7 @@
     if (body.is_discarded() || !body.is_object()) {
         return error_response(error(error_kind::bad_request, "fault body is not a JSON object.",
                                     "Send {\"outage_ms\":N,\"delay_ms\":N,\"skip_writes\":N,\"refuse_writes\":N,"
-                                    "\"lose_replies\":N,\"vm_lag_ms\":N}."));
+                                    "\"lose_replies\":N,\"vm_lag_ms\":N,\"copy\":true,\"restore\":true}."));
     }
     m_faults.outage_until = now + milliseconds(body.value("outage_ms", std::int64_t{0}));
     m_faults.delay = milliseconds(body.value("delay_ms", std::int64_t{0}));
@@ -235,6 +245,8 @@
     m_faults.skip_writes = body.value("skip_writes", std::int64_t{0});
     m_faults.refuse_writes = body.value("refuse_writes", std::int64_t{0});
     m_faults.lose_replies = body.value("lose_replies", std::int64_t{0});
+    if (body.value("copy", false)) m_copy = m_store;
+    if (body.value("restore", false)) restore(now);
     return json_response(200, R"({"ok":true})");
 }
 
--- a/src/store/store_service.hpp
+++ b/src/store/store_service.hpp
@@ -63,6 +63,8 @@
     http_response set_faults(nlohmann::json const& body, time_point now);
     /** @return the calls served so far, by path, as JSON. */
     http_response stats() const;
+    /** Puts back what the store held when the last copy was made, as a new cluster. */
+    void restore(time_point now);
     /** @return the etcd response header. */
     nlohmann::json header() const;
 
@@ -75,6 +77,8 @@
 
     std::map<std::string, std::int64_t> m_calls; ///< Calls by path, for the capacity bench.
     kv_store m_store;                            ///< Keys and leases.
+    kv_store m_copy;                             ///< The same when the last copy was made.
+    std::int64_t m_cluster = 1;                  ///< Cluster id; another one after each restore.
     std::map<std::string, vm_entry> m_vms;       ///< VM list by address.
     store_faults m_faults;                       ///< Faults in force.
     bool m_skipped = false;                      ///< The write being served was counted by skip_writes.
--- a/tests/test_coordination_contract.cpp
+++ b/tests/test_coordination_contract.cpp
@@ -237,7 +237,7 @@
         store_client reader(other, bench.store.address(), milliseconds(2000));
         auto const listed = [&] {
             return kind_of([&] { reader.range_prefix(member_prefix); }) == "none" &&
-                   reader.range_prefix(member_prefix).first.size() == 1;
+                   reader.range_prefix(member_prefix).kvs.size() == 1;
         };
         CHECK(eventually(listed));
         // The lease lapses while its holder cannot renew it (an outage longer than the lease), then it comes back.
@@ -315,6 +315,37 @@
     CHECK(eventually([&] { return view.current()->revision >= last; }));
 }
 
+TEST_CASE("entry nodes follow a store that was restored from an older copy, and register again")
+{
+    store_bench bench;
+    config_view view;
+    config_watcher watcher(bench.client, view, milliseconds(50));
+    watcher.start();
+    h2_client transport;
+    store_client writer(transport, bench.store.address(), milliseconds(2000));
+    auto const write = [&](std::string const& name) {
+        writer.put(resource_key(resource_kind::route, name),
+                   resource_to_json({resource_kind::route, name, route_spec{"c", "svc"}, 0}).dump());
+    };
+    auto const knows = [&](std::string const& name) { return view.current()->routes.count(name) == 1; };
+    write("kept");
+    REQUIRE(eventually([&] { return knows("kept"); }));
+    bench.store.fault({{"copy", true}});
+    h2_client member_transport;
+    store_client member_client(member_transport, bench.store.address(), milliseconds(2000));
+    membership members(member_client, member{"e1", "127.0.0.1:1", "Wien"}, 2);
+    members.start();
+    for (int i = 0; i < 5; ++i)
+        write("lost" + std::to_string(i));
+    REQUIRE(eventually([&] { return knows("lost4") && view.current()->members.size() == 1; }));
+    bench.store.fault({{"restore", true}});
+    write("later");
+    CHECK(eventually([&] { return knows("later"); }));
+    CHECK(knows("kept"));
+    CHECK_FALSE(knows("lost0"));
+    CHECK(eventually([&] { return view.current()->members.size() == 1; }));
+}
+
 TEST_CASE("after an outage the watch goes on from where it was, without a full read")
 {
     local_fleet fleet(2, 3, 2, 2);
--- a/tests/test_resources.cpp
+++ b/tests/test_resources.cpp
@@ -81,11 +81,25 @@
     CHECK_FALSE(view.apply({put_event(resource_key(resource_kind::service, "catalogue-01"), resources[0], 7)}, 7));
     CHECK(view.current()->services.at("catalogue-01").index_version == 5);
     // So is a full read from before what was applied, as after a failover to a lagging store reply.
-    CHECK_FALSE(view.reset({}, 8));
+    CHECK_FALSE(view.reset({}, 8, view.current()->cluster));
     CHECK(view.current()->services.count("catalogue-01") == 1);
     CHECK(view.current()->revision == 10);
 }
 
+TEST_CASE("the view follows a store that was restored from an older copy, whose revisions begin anew from there")
+{
+    auto const resources = parse_resource_file(example, "example.toml");
+    auto const key = resource_key(resource_kind::service, "catalogue-01");
+    config_view view;
+    view.reset({}, 10, cluster_id("1"));
+    CHECK(view.apply({put_event(key, resources[0], 12)}, 12));
+    CHECK(view.reset({}, 8, cluster_id("2")));
+    CHECK(view.current()->services.empty());
+    CHECK(view.apply({put_event(key, resources[0], 9)}, 9));
+    CHECK(view.current()->services.count("catalogue-01") == 1);
+    CHECK_FALSE(view.reset({}, 8, cluster_id("2")));
+}
+
 TEST_CASE("replicas are the back ends holding the shard at the version and not draining")
 {
     auto resources = parse_resource_file(example, "example.toml");
