--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 COLD_PER_S = 4  # bears so many requests a second,
 COLD_BOUND = COLD_PER_S * 1.5 + 5  # gets so many at most from all gateways,
 TOLD_S = 1.0  # once they have heard of it.
+STALL_STEP_S, STALL_S = 0.01, 0.1  # How often this process looks whether it stands still, and from when it counts.
 SETTLE_S = 12.0  # After the last fault everything works again within this.
 
 
@@ -113,6 +114,7 @@
         self.outcomes = {}  # id of a write -> status or "cut"
         self.cuts = []  # (id, gateway, time): a connection that ended without an answer
         self.drained = {}  # backend -> time it was drained
+        self.stalls = []  # (begin, end) of the times in which this process stood still
         self.written = {}  # key -> value, what operators and backend servers keep in the store
         self.restored = asyncio.Event()  # Unset while the store is away and comes back from a copy.
         self.restored.set()
@@ -225,6 +227,17 @@
             await asyncio.sleep(0.1)
         self.violation(f"not all gateways ready within {limit_s} s")
 
+    async def watch_stalls(self):
+        """Notes when this process, through which all connections to servers and the store go, stood still."""
+        while True:
+            begun = time.monotonic()
+            await asyncio.sleep(STALL_STEP_S)
+            late = time.monotonic() - begun - STALL_STEP_S
+            if late > STALL_S:
+                self.stalls.append((begun, begun + STALL_STEP_S + late))
+                print(f"stalled for {late * 1000:.0f} ms until {time.monotonic() - self.begun:.3f} s, "
+                      f"{time.time():.3f}", flush=True)
+
     # ---- Callers ----
 
     async def caller(self, number):
@@ -542,12 +555,14 @@
         self.evacuation_runs = False
         try:
             await self.begin()
+            stall_watch = asyncio.create_task(self.watch_stalls())
             callers = [asyncio.create_task(self.caller(number)) for number in range(12)]
             await self.faults()
             await self.check_settled()
             self.stop_callers = True
             await asyncio.gather(*callers)
             await self.check_journal()
+            stall_watch.cancel()
         finally:
             for process in self.processes.values():
                 process.send_signal(signal.SIGCONT)
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -463,3 +463,37 @@
     std::this_thread::sleep_for(1s);
     CHECK(runs_of(fleet.journal(), "id-1") == 1); // Not retried or hedged after the caller had left.
 }
+
+TEST_CASE("a gateway that stood still does not take its own pause for a queue at the backend servers")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    for (int i = 0; i < 20; ++i)
+        CHECK(fleet.ask(1, "/q/a", "warm-" + std::to_string(i)).status == 200);
+    fleet.behave({{"mode", "ok"}, {"work_ms", 60}});
+    auto const send = [&](std::string const& id) {
+        auto connection = std::make_unique<raw_connection>(gateway_fleet::address(1, "frontend"));
+        connection->send("GET /q/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id + "\r\nDeadline: 1900\r\n\r\n");
+        return connection;
+    };
+    int served = 0;
+    int asked = 0;
+    for (int round = 0; round < 5; ++round) {
+        auto const before = send("before-" + std::to_string(round));
+        std::this_thread::sleep_for(20ms);
+        fleet.processes.stop("gw-1", SIGSTOP);
+        std::this_thread::sleep_for(350ms);
+        std::vector<std::unique_ptr<raw_connection>> during;
+        for (int i = 0; i < 4; ++i)
+            during.push_back(send("during-" + std::to_string(round) + "-" + std::to_string(i)));
+        fleet.processes.stop("gw-1", SIGCONT);
+        for (auto const& each : during) {
+            auto const answer = each->receive();
+            ++asked;
+            served += answer && answer->status == 200 ? 1 : 0;
+        }
+        before->receive();
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(served == asked);
+}
