--- /dev/null
+++ b/src/feed/missing_items.cpp
@@ -0,0 +1,28 @@
+/** @file missing_items.cpp Items that were missing when the store came back from an older copy. */
+#include <cornelspring/feed.hpp>
+
+#include <algorithm>
+
+namespace cornelspring {
+
+std::vector<store_item> missing_items::hold(std::vector<store_item> changes, time_point until)
+{
+    m_until = until;
+    auto const removals =
+        std::stable_partition(changes.begin(), changes.end(), [](store_item const& change) { return !change.removed; });
+    for (auto each = removals; each != changes.end(); ++each)
+        m_removals.insert_or_assign(each->key, *each);
+    changes.erase(removals, changes.end());
+    return changes;
+}
+
+std::vector<store_item> missing_items::take_due(time_point now)
+{
+    std::vector<store_item> due;
+    if (now < m_until) return due;
+    for (auto const& [key, removal] : std::exchange(m_removals, {}))
+        due.push_back(removal);
+    return due;
+}
+
+} // namespace cornelspring
--- a/src/feed/state_mirror.cpp
+++ b/src/feed/state_mirror.cpp
@@ -1,9 +1,6 @@
 /** @file state_mirror.cpp A copy of the store's items, and what followers are told of its changes. */
 #include <cornelspring/feed.hpp>
 
-#include <algorithm>
-#include <charconv>
-
 namespace cornelspring {
 namespace {
 
@@ -14,21 +11,6 @@
 
 } // namespace
 
-std::string store_position::to_string() const { return std::to_string(era.value()) + "." + std::to_string(revision); }
-
-std::optional<store_position> parse_position(std::string_view text)
-{
-    std::int64_t era = 0;
-    store_position found;
-    auto const* const end = text.data() + text.size();
-    auto const dot = std::from_chars(text.data(), end, era);
-    if (dot.ec != std::errc() || dot.ptr == end || *dot.ptr != '.') return std::nullopt;
-    auto const last = std::from_chars(dot.ptr + 1, end, found.revision);
-    if (last.ec != std::errc()) return std::nullopt;
-    found.era = store_era(era);
-    return found;
-}
-
 void state_mirror::take(store_item const& change)
 {
     auto const [newest, is_new] = m_newest.try_emplace(change.key, change.position);
@@ -138,24 +120,4 @@
     return batch;
 }
 
-std::vector<store_item> missing_items::hold(std::vector<store_item> changes, time_point until)
-{
-    m_until = until;
-    auto const removals =
-        std::stable_partition(changes.begin(), changes.end(), [](store_item const& change) { return !change.removed; });
-    for (auto each = removals; each != changes.end(); ++each)
-        m_removals.insert_or_assign(each->key, *each);
-    changes.erase(removals, changes.end());
-    return changes;
-}
-
-std::vector<store_item> missing_items::take_due(time_point now)
-{
-    std::vector<store_item> due;
-    if (now < m_until) return due;
-    for (auto const& [key, removal] : std::exchange(m_removals, {}))
-        due.push_back(removal);
-    return due;
-}
-
 } // namespace cornelspring
