Customers: API keys, the customer's name for backend servers, quotas over all VMs

Cause: the code knew no keys, no customer of a request and no quota. Change: cornel_customers (customers.hpp), without sockets or clock: a directory of customers by digest of their keys, and quotas. One VM keeps the account of a customer for all (rendezvous hashing over the active VMs, the second one when the first does not respond). VMs that reach no account use an even share of the limit. The dispatcher authenticates before quarantine, admission and any attempt (401), states the customer itself, strips the key, decides on the quota before admission (429 with the time of the refill) and returns the token of a request that is then rejected. Home regions of customer and route both bind; waiting shards are served by priority of the customer, then of the route.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -119,6 +119,7 @@
     std::string not_executed;    ///< Set by a backend server that did not run the request.
     std::string warmup_left;     ///< Remaining warm-up time of a backend server in milliseconds.
     std::string part_signatures; ///< Signatures of the shard responses in a merged response.
+    std::string customer;        ///< Name of the customer that holds the request's API key.
     std::string missing_parts;   ///< Number of shards missing from a merged response.
 };
 
@@ -148,12 +149,16 @@
 struct request_timing {
     clock::duration max_unread{0}; ///< Upper bound on the time that it was unread at this VM.
     clock::duration round_trip{0}; ///< Network time of request and response together; 0 if unknown.
+    clock::duration quota_wait{0}; ///< Time that it waited for a token of its customer's quota.
 };
 
 /** Outcome of a request, for logs and metrics. */
 struct request_summary {
     std::string request_id;                ///< The caller's id of the request.
     std::string route_name;                ///< Route, or empty if none matched.
+    customer_name customer;                ///< Holder of its API key; empty if none.
+    milliseconds quota_wait{0};            ///< Time that it waited for a token of its customer's quota.
+    bool quota_isolated = false;           ///< The quota was decided by this VM's own share.
     config_version version;                ///< Configuration that it was handled with.
     int status = 0;                        ///< HTTP status of the response; 0 if the caller disconnected.
     char const* reason = "";               ///< Reason for the outcome, one word.
@@ -276,11 +281,11 @@
 class dispatcher {
 public:
     /** @param options settings. @param configs configuration in force. @param registry backend servers.
-     *  @param placement placement rules. @param quarantine requests that crash backend servers. @param hooks callbacks.
-     *  @param seed random seed. */
+     *  @param placement placement rules. @param quarantine requests that crash backend servers. @param quotas use of
+     *  customers' quotas. @param hooks callbacks. @param seed random seed. */
     dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-               placement_rules const& placement, request_quarantine& quarantine, dispatcher_hooks hooks,
-               std::uint64_t seed);
+               placement_rules const& placement, request_quarantine& quarantine, quota_usage& quotas,
+               dispatcher_hooks hooks, std::uint64_t seed);
     ~dispatcher();
     /** Handles a complete request. @param key unused key for it. @param message as received. @param timing its time
      *  outside the dispatcher. @param caller address of the caller. @param now current time. */
@@ -290,6 +295,9 @@
     void on_caller_disconnected(request_key key, time_point now);
     /** Handles the result of an attempt. @param id attempt. @param result result. @param now current time. */
     void on_result(attempt_id id, attempt_result result, time_point now);
+    /** The quota of a customer was decided: decides again about its requests that wait. @param name customer.
+     *  @param now current time. */
+    void on_quota_decided(customer_name const& name, time_point now);
     /** Runs all timers that are due. @param now current time. */
     void on_timer(time_point now);
     /** @return when on_timer() must be called next, or nothing if no timer is set. */
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -229,6 +229,7 @@
     int addresses_ttl_s = 4;                  ///< How long callers may use the response to an address query.
     dispatcher_options dispatch;              ///< Settings of the dispatcher.
     warmup_limits warmup;                     ///< Limits on requests to cold backend servers.
+    quota_tolerance quota;                    ///< By how much customers' quotas may be passed.
     pool_options pool;                        ///< Connections to backend servers.
     /** Encodes the response to an address query. */
     std::function<std::string(std::vector<endpoint> const& addresses, int ttl_s)> encode_addresses;
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -4,8 +4,8 @@
  */
 #pragma once
 
+#include <cornelspring/customers.hpp>
 #include <cornelspring/net.hpp>
-#include <cornelspring/places.hpp>
 
 #include <array>
 #include <deque>
@@ -78,6 +78,7 @@
     int priority = 0;                         ///< Priority; 0 is the highest.
     bool highest_priority = true;      ///< No route over the same shards has a higher priority; set by serving_config.
     int attempts = 1;                  ///< Most attempts of one request, per shard.
+    bool needs_key = true;             ///< Its requests need an API key, if customers are configured.
     region_set home_region_set;        ///< Regions that may serve it; empty: all.
     std::vector<split_target> split;   ///< Services that share the requests; one entry for a route to one service.
     std::optional<gather_spec> gather; ///< Set for a route over shards; split is then empty.
@@ -100,15 +101,18 @@
 /** One version of the operators' configuration. Immutable once in force. */
 class serving_config {
 public:
-    /** @param version version. @param routes routes. @param services limits by service. @param limits for callers. */
+    /** @param version version. @param routes routes. @param services limits by service. @param limits for callers.
+     *  @param customers customers; none: requests need no key. */
     serving_config(config_version version, std::vector<route> routes, std::map<service_name, service_limits> services,
-                   caller_limits limits);
+                   caller_limits limits, customer_directory customers = {});
     /** @return the version. */
     config_version version() const { return m_version; }
     /** @return all routes. */
     std::vector<route> const& routes() const { return m_routes; }
     /** @return the limits for callers. */
     caller_limits const& limits() const { return m_limits; }
+    /** @return the customers. */
+    customer_directory const& customers() const { return m_customers; }
     /** @return the connection limit of @p service; a default when it is not configured. @param service service. */
     int max_connections(service_name const& service) const;
     /** @return the warm-up of the backend servers of @p service. @param service service. */
@@ -129,6 +133,7 @@
     std::vector<route> m_routes;                                ///< Routes.
     std::map<service_name, service_limits> m_services;          ///< Limits by service.
     caller_limits m_limits;                                     ///< For callers.
+    customer_directory m_customers;                             ///< Customers.
     int m_min_gather_connections = 0;                           ///< See min_gather_connections().
     std::unordered_map<std::string, std::size_t> m_by_location; ///< Route index by host and prefix.
 };
@@ -271,6 +276,14 @@
     time_point m_sampled_at; ///< Time of the last outcome.
 };
 
+/** Priority of a request in a queue; the lowest value is served first. */
+struct request_priority {
+    int of_customer = 0; ///< Priority of its customer.
+    int of_route = 0;    ///< Priority of its route, among requests of customers with the same priority.
+    /** Priorities compare by customer, then by route. */
+    auto operator<=>(request_priority const&) const = default;
+};
+
 /** The backend servers of one service and the state that all requests for it share. */
 struct service_group {
     service_name name;                                     ///< Service.
@@ -283,7 +296,7 @@
         std::uint64_t request = 0; ///< Request key.
         std::size_t shard = 0;     ///< Shard of the request.
     };
-    std::multimap<int, waiter> wait_queue; ///< By route priority; first in, first out within a priority.
+    std::multimap<request_priority, waiter> wait_queue; ///< First in, first out within a priority.
 };
 
 /** All backend servers known to this VM, by service. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -175,10 +175,10 @@
 // ---- Public interface ----
 
 dispatcher::dispatcher(dispatcher_options options, config_holder const& configs, backend_registry& registry,
-                       placement_rules const& placement, request_quarantine& quarantine, dispatcher_hooks hooks,
-                       std::uint64_t seed)
-    : m_impl(
-          std::make_unique<impl>(std::move(options), configs, registry, placement, quarantine, std::move(hooks), seed))
+                       placement_rules const& placement, request_quarantine& quarantine, quota_usage& quotas,
+                       dispatcher_hooks hooks, std::uint64_t seed)
+    : m_impl(std::make_unique<impl>(std::move(options), configs, registry, placement, quarantine, quotas,
+                                    std::move(hooks), seed))
 {
 }
 
@@ -193,6 +193,13 @@
 
 void dispatcher::on_caller_disconnected(request_key key, time_point now)
 {
+    if (auto const waiter = m_impl->awaiting_quota.extract(key.value())) {
+        auto& summary = waiter.mapped().summary;
+        m_impl->quotas.stop_waiting(summary.customer);
+        summary.reason = "caller_gone";
+        m_impl->hooks.on_finished(summary);
+        return;
+    }
     auto const found = m_impl->requests.find(key.value());
     if (found == m_impl->requests.end()) return;
     auto const request = std::move(found->second);
@@ -215,6 +222,12 @@
     m_impl->on_result(id, std::move(result), now);
 }
 
+void dispatcher::on_quota_decided(customer_name const& name, time_point now)
+{
+    m_impl->finished.clear();
+    m_impl->on_quota_decided(name, now);
+}
+
 void dispatcher::on_timer(time_point now)
 {
     m_impl->finished.clear();
@@ -231,7 +244,7 @@
     return next;
 }
 
-std::size_t dispatcher::open_requests() const { return m_impl->requests.size(); }
+std::size_t dispatcher::open_requests() const { return m_impl->requests.size() + m_impl->awaiting_quota.size(); }
 
 void dispatcher::set_vm_count(std::size_t vms) { m_impl->vms = std::max<std::size_t>(vms, 1); }
 
@@ -239,6 +252,11 @@
 
 void dispatcher::finish_all(time_point now)
 {
+    for (auto& [key, waiter] : std::exchange(m_impl->awaiting_quota, {})) {
+        auto response = m_impl->rejection("this gateway stops", m_impl->options.retry_after_s);
+        m_impl->quotas.stop_waiting(waiter.summary.customer);
+        m_impl->respond_immediately(request_key(key), std::move(waiter.summary), std::move(response), "stopping");
+    }
     std::vector<request_key> keys;
     for (auto const& [key, request] : m_impl->requests)
         keys.emplace_back(key);
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -33,6 +33,11 @@
 /** A request counts as a caller's retry if more than this share of the caller's time is spent. */
 constexpr double retried_share = 0.03;
 
+/** Header that carries an API key. */
+constexpr std::string_view authorization_header = "authorization";
+/** Minimum Retry-After of a request beyond its customer's quota, in seconds. */
+constexpr double min_quota_retry_after_s = 0.05;
+
 } // namespace
 
 std::optional<milliseconds> parse_ms(std::string const& text)
@@ -50,6 +55,7 @@
     request_summary summary;
     summary.request_id = message.header(options.names.request_id);
     summary.caller = std::move(caller);
+    summary.quota_wait = std::chrono::duration_cast<milliseconds>(timing.quota_wait);
     if (!config) {
         respond_immediately(key, summary, rejection("no configuration is known yet", no_config_retry_after_s(now)),
                             "starting");
@@ -72,6 +78,14 @@
     request.summary = summary;
     request.summary.route_name = via->name;
     request.latencies = &latencies[via->name];
+    if (auto const* reason = authenticate(request); reason != nullptr) {
+        auto response = local_response(401, "the request needs a valid API key");
+        response.headers.push_back({"www-authenticate", "Bearer"});
+        respond_immediately(key, request.summary, std::move(response), reason);
+        return;
+    }
+    request.home_region_set =
+        request.by == nullptr ? via->home_region_set : common_homes(via->home_region_set, request.by->home_region_set);
     if (!set_deadline(request, timing)) {
         respond_immediately(key, request.summary, rejection("too little time is left", options.retry_after_s),
                             "no_time");
@@ -88,17 +102,18 @@
         respond_immediately(key, request.summary, rejection(text, options.retry_after_s), "on_trial");
         return;
     }
+    if (!within_quota(request, timing, now)) return;
     add_shards(request, now);
     if (double const wait = blocked_wait_s(request, now); wait > 0) {
         auto const& summary = request.summary;
         bool const placement_refused = summary.no_home + summary.evacuated + summary.cold > 0;
         auto const* text = placement_refused ? "too few backend servers may serve it where they are"
                                              : "too few backend servers have room";
-        respond_immediately(key, summary, rejection(text, wait), placement_refused ? "no_place" : "no_room");
+        reject_within_quota(request, rejection(text, wait), placement_refused ? "no_place" : "no_room", now);
         return;
     }
     if (options.admission && !admitted(request, now)) {
-        respond_immediately(key, request.summary, overload_response(request), "overloaded");
+        reject_within_quota(request, overload_response(request), "overloaded", now);
         return;
     }
     request.head_bytes = head_bytes(request);
@@ -109,6 +124,66 @@
     finish_if_decided(request, now);
 }
 
+/** Several Authorization headers identify nobody: backend servers and gateways could read different ones. */
+char const* dispatcher::impl::authenticate(request_state& request) const
+{
+    auto const& customers = request.config->customers();
+    if (!customers.keys_required()) return nullptr;
+    auto const& headers = request.message.headers;
+    auto const is_authorization = [](http_header const& each) { return each.name == authorization_header; };
+    auto const count = std::count_if(headers.begin(), headers.end(), is_authorization);
+    auto const value = count == 1 ? request.message.header(std::string(authorization_header)) : std::string();
+    request.by = customers.find_key(bearer_key(value));
+    if (request.by != nullptr) request.summary.customer = request.by->name;
+    if (request.by != nullptr || !request.matched_route->needs_key) return nullptr;
+    return count == 0 ? "no_key" : "unknown_key";
+}
+
+bool dispatcher::impl::within_quota(request_state& request, request_timing timing, time_point now)
+{
+    if (request.by == nullptr) return true;
+    auto const decision = quotas.take(*request.by, now);
+    request.summary.quota_isolated = decision.isolated;
+    if (decision.outcome == quota_decision::kind::admitted) return true;
+    if (decision.outcome == quota_decision::kind::waiting) {
+        awaiting_quota.emplace(request.key.value(),
+                               quota_waiter{std::move(request.message), timing, std::move(request.summary), now});
+        return false;
+    }
+    auto response = local_response(429, "the customer's quota is used up");
+    auto const left_s = std::chrono::duration<double>(decision.retry_after).count();
+    response.headers.push_back({"retry-after", retry_after(std::max(left_s, min_quota_retry_after_s))});
+    respond_immediately(request.key, request.summary, std::move(response), "over_quota");
+    return false;
+}
+
+void dispatcher::impl::on_quota_decided(customer_name const& name, time_point now)
+{
+    std::vector<std::pair<request_key, quota_waiter>> waiters;
+    for (auto each = awaiting_quota.begin(); each != awaiting_quota.end();) {
+        if (each->second.summary.customer != name) {
+            ++each;
+            continue;
+        }
+        waiters.emplace_back(request_key(each->first), std::move(each->second));
+        each = awaiting_quota.erase(each);
+    }
+    for (auto& [key, waiter] : waiters) {
+        auto const waited = now - waiter.since;
+        waiter.timing.max_unread += waited;
+        waiter.timing.round_trip += waited;
+        waiter.timing.quota_wait += waited;
+        start(key, std::move(waiter.message), waiter.timing, std::move(waiter.summary.caller), now);
+    }
+}
+
+void dispatcher::impl::reject_within_quota(request_state const& request, http_response response, char const* reason,
+                                           time_point now)
+{
+    if (request.by != nullptr) quotas.give_back(request.by->name, now);
+    respond_immediately(request.key, request.summary, std::move(response), reason);
+}
+
 /** The state without a configuration is expected to last as long again as it has lasted so far. After a power cut the
  *  store may be unreachable for seconds, and callers have only one retry left. */
 double dispatcher::impl::no_config_retry_after_s(time_point now)
@@ -212,13 +287,18 @@
 
 std::string dispatcher::impl::head_bytes(request_state const& request) const
 {
+    bool const keys_required = request.config->customers().keys_required();
     auto headers = request.message.headers;
     remove_hop_by_hop(headers);
     std::string out = request.message.method + " " + request.message.path + " HTTP/1.1\r\n";
     for (auto const& header : headers) {
         if (header.name == options.names.deadline || header.name == options.names.target_backend) continue;
+        // A key must not reach backend servers, and only this gateway states the customer.
+        if (keys_required && (header.name == authorization_header || header.name == options.names.customer)) continue;
         out.append(header.name).append(": ").append(header.value).append("\r\n");
     }
+    if (request.by != nullptr)
+        out.append(options.names.customer).append(": ").append(request.by->name.value()).append("\r\n");
     if (!request.message.body.empty() || request.message.method == "POST" || request.message.method == "PUT") {
         out.append("content-length: ").append(std::to_string(request.message.body.size())).append("\r\n");
     }
@@ -227,7 +307,7 @@
 
 selection_context dispatcher::impl::context(request_state const& request, shard_state const& shard) const
 {
-    return {options.selection, placement, {request.matched_route->home_region_set, *shard.warmup}};
+    return {options.selection, placement, {request.home_region_set, *shard.warmup}};
 }
 
 void dispatcher::impl::count_miss(request_summary& summary, selection_failure miss)
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -143,7 +143,7 @@
 {
     auto& shard = request.shards[index];
     shard.queued = true;
-    shard.group->wait_queue.emplace(request.matched_route->priority, service_group::waiter{request.key.value(), index});
+    shard.group->wait_queue.emplace(request.priority(), service_group::waiter{request.key.value(), index});
 }
 
 void dispatcher::impl::send_queued(service_group& group, time_point now)
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -21,6 +21,7 @@
     placement_rules const& placement;             ///< Placement rules.
     recent_responses safe_requests;               ///< Requests known not to crash backend servers.
     request_quarantine& quarantine;               ///< Requests that crash backend servers.
+    quota_usage& quotas;                          ///< Use of customers' quotas.
     dispatcher_hooks hooks;                       ///< Callbacks.
     std::mt19937_64 random;                       ///< Tie breaks and jitter.
     std::size_t vms = 1;                          ///< Number of VMs that share retry budgets and connections.
@@ -28,19 +29,21 @@
     std::optional<time_point> unconfigured_since; ///< Time of the first request without a configuration.
     std::uint64_t last_attempt = 0;               ///< Last attempt id used.
     std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> requests; ///< Open requests by key.
-    std::unordered_map<std::uint64_t, open_attempt> attempts;                   ///< Attempts in flight by id.
-    std::set<std::pair<time_point, std::uint64_t>> due;                         ///< Timers of requests, by time.
-    std::deque<std::pair<time_point, attempt_id>> observed;  ///< Attempts that run on for measurement, by cancel time.
-    std::map<std::string, admission_control> admissions;     ///< Admission control by the first shard of a gather.
-    std::map<std::string, duration_window> caller_deadlines; ///< Recent deadlines in callers' requests, by route name.
-    std::map<std::string, route_latencies> latencies;        ///< Recent shard latencies by route name.
-    std::map<std::string, std::vector<double>> split_credit; ///< Weighted round robin, by route name.
+    std::map<std::uint64_t, quota_waiter> awaiting_quota;     ///< Requests that wait for a token, by key.
+    std::unordered_map<std::uint64_t, open_attempt> attempts; ///< Attempts in flight by id.
+    std::set<std::pair<time_point, std::uint64_t>> due;       ///< Timers of requests, by time.
+    std::deque<std::pair<time_point, attempt_id>> observed;   ///< Attempts that run on for measurement, by cancel time.
+    std::map<std::string, admission_control> admissions;      ///< Admission control by the first shard of a gather.
+    std::map<std::string, duration_window> caller_deadlines;  ///< Recent deadlines in callers' requests, by route name.
+    std::map<std::string, route_latencies> latencies;         ///< Recent shard latencies by route name.
+    std::map<std::string, std::vector<double>> split_credit;  ///< Weighted round robin, by route name.
     /** Requests that finished during the current public call. Callers up the stack may still refer to them. */
     std::vector<std::unique_ptr<request_state>> finished;
 
     impl(dispatcher_options o, config_holder const& c, backend_registry& r, placement_rules const& p,
-         request_quarantine& q, dispatcher_hooks h, std::uint64_t seed)
-        : options(std::move(o)), configs(c), registry(r), placement(p), quarantine(q), hooks(std::move(h)), random(seed)
+         request_quarantine& q, quota_usage& u, dispatcher_hooks h, std::uint64_t seed)
+        : options(std::move(o)), configs(c), registry(r), placement(p), quarantine(q), quotas(u), hooks(std::move(h)),
+          random(seed)
     {
     }
 
@@ -70,6 +73,16 @@
 
     /** Handles a request: finds its route, sets deadline and shards, checks admission, sends the first attempts. */
     void start(request_key key, http_request message, request_timing timing, caller_address caller, time_point now);
+    /** Finds the customer of a request by its API key. @return why the request must be rejected; null when it may
+     *  proceed. */
+    char const* authenticate(request_state& request) const;
+    /** Decides on the quota of the request's customer. @return whether the request may proceed; otherwise it was
+     *  rejected, or waits in awaiting_quota. */
+    bool within_quota(request_state& request, request_timing timing, time_point now);
+    /** Decides again about the requests of @p name that wait for a token. */
+    void on_quota_decided(customer_name const& name, time_point now);
+    /** Rejects a request that was counted for its customer's quota and was not sent. */
+    void reject_within_quota(request_state const& request, http_response response, char const* reason, time_point now);
     /** @return the minimum Retry-After in seconds while there is no configuration. */
     double no_config_retry_after_s(time_point now);
     /** @return the service of a traffic split that the next request goes to. */
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -48,6 +48,14 @@
     std::optional<http_response> response; ///< Usable response, or else the last response received.
 };
 
+/** A request that waits for a token of its customer's quota. */
+struct quota_waiter {
+    http_request message;    ///< Request as received.
+    request_timing timing;   ///< Its time outside the dispatcher.
+    request_summary summary; ///< Summary so far.
+    time_point since;        ///< When it began to wait.
+};
+
 /** A request without a response. */
 struct request_state {
     request_key key;                              ///< Key.
@@ -55,6 +63,8 @@
     std::string head_bytes;                       ///< Start line and forwarded headers, serialized.
     std::shared_ptr<serving_config const> config; ///< Configuration that it is handled with.
     route const* matched_route = nullptr;         ///< Route, inside config.
+    customer const* by = nullptr;                 ///< Customer, inside config; null if it has no key and needs none.
+    region_set home_region_set;                   ///< Regions that may serve it, by route and customer; empty: all.
     time_point arrived_at;                        ///< Time at which it was read.
     time_point admission_at;                      ///< The same on the clock of admission control.
     time_point deadline;                          ///< Latest time of the response.
@@ -74,6 +84,8 @@
     bool usable_received = false;                 ///< Some backend server has sent a usable response.
     int sequential_runs = 0;                      ///< Attempts of the one-at-a-time phase that may have run.
     request_summary summary;                      ///< Summary for logs and metrics.
+    /** @return its priority in queues. */
+    request_priority priority() const { return {by == nullptr ? 0 : by->priority, matched_route->priority}; }
     /** @return whether its route is a gather. */
     bool gathers() const { return matched_route->gather.has_value(); }
     /** @return whether some attempt may have run or may still run. */
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -44,6 +44,7 @@
         std::unique_ptr<backend_registry> registry;                           ///< Backend servers.
         placement_rules placement;                                            ///< Placement rules.
         request_quarantine quarantine;                                        ///< Requests that crash backend servers.
+        quota_usage quotas;                                                   ///< Use of customers' quotas.
         std::unique_ptr<dispatcher> request_dispatcher;                       ///< Dispatcher under test.
         std::unordered_map<std::uint64_t, caller_request> requests_in_flight; ///< Callers' requests by request key.
         std::unordered_map<std::uint64_t, std::shared_ptr<modelled_attempt>> attempts_in_flight; ///< Attempts by id.
@@ -99,7 +100,7 @@
 model::model(emulated_deployment const& deployment) : m_deployment(deployment), m_random(deployment.seed)
 {
     m_deployment.options.names = {"request-id", "deadline", "target", "signature",
-                                  "not-run",    "warmup",   "parts",  "missing"};
+                                  "not-run",    "warmup",   "parts",  "customer", "missing"};
     auto const count = m_deployment.shards * m_deployment.replicas;
     for (int i = 0; i < count; ++i) {
         m_servers.push_back(std::make_unique<modelled_server>(m_events, m_deployment, m_random));
@@ -188,7 +189,7 @@
     hooks.respond = [this, &vm](request_key key, http_response response) { on_response(vm, key, response); };
     hooks.on_finished = [](request_summary const&) {};
     vm.request_dispatcher = std::make_unique<dispatcher>(m_deployment.options, vm.configs, *vm.registry, vm.placement,
-                                                         vm.quarantine, std::move(hooks), m_random());
+                                                         vm.quarantine, vm.quotas, std::move(hooks), m_random());
 
     vm.request_dispatcher->set_vm_count(static_cast<std::size_t>(m_deployment.vms));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,7 +33,7 @@
         metrics.on_request(summary);
         log.on_request(summary, followers.age());
     };
-    requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, placement, quarantine,
+    requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, placement, quarantine, quotas,
                                             std::move(hooks), random());
     requests->set_vm_count(min_vms);
     loop.on_paused([this](clock::duration length) {
@@ -42,6 +42,24 @@
     });
 }
 
+void gateway::impl::make_quota_calls()
+{
+    quota_calls::hooks hooks;
+    hooks.members = [this]() -> member_map const& { return members; };
+    hooks.active = [this]() -> std::set<std::string> const& { return active; };
+    hooks.limit_of = [this](customer_name const& name) {
+        auto const* found = configs.current() ? configs.current()->customers().find(name) : nullptr;
+        return found == nullptr ? quota_limit{} : found->quota;
+    };
+    hooks.state_age = [this] { return followers.age(); };
+    hooks.on_decided = [this](customer_name const& name) {
+        requests->on_quota_decided(name, loop.now());
+        wake_dispatcher();
+    };
+    hooks.on_failed = [this](std::string const& keeper, char const* reason) { log.quota_keeper(keeper, reason); };
+    quota_reports = std::make_unique<quota_calls>(loop, member_key(), quotas, settings.quota, std::move(hooks));
+}
+
 void gateway::impl::make_caller_server()
 {
     caller_server::hooks hooks;
@@ -93,6 +111,7 @@
     }
     requests->start(request.key, std::move(request.message), request.timing, std::move(request.caller), loop.now());
     if (requests->open_requests() > 0) loop.watch_pauses([this] { return requests->open_requests() > 0; });
+    quota_reports->send_reports();
     wake_dispatcher();
 }
 
@@ -100,7 +119,9 @@
 {
     auto const path = request.path.substr(0, request.path.find('?'));
     http_response response;
-    if (request.method != "GET") {
+    if (request.method == "POST" && path == peer_paths::quota) {
+        response = quota_reports->handle_reports(request);
+    } else if (request.method != "GET") {
         response.status = 405;
     } else if (path == settings.ready_path) {
         response.status = ready() ? 200 : 503;
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -4,6 +4,7 @@
 #include "feed_calls.hpp"
 #include "gateway_log.hpp"
 #include "gateway_metrics.hpp"
+#include "quota_calls.hpp"
 
 namespace cornelspring {
 
@@ -28,6 +29,7 @@
     backend_registry registry;            ///< Backend servers.
     placement_rules placement;            ///< Placement rules.
     request_quarantine quarantine;        ///< Requests that crash backend servers.
+    quota_usage quotas;                   ///< Use of customers' quotas by this VM.
     member_map members;                   ///< Gateways registered in the store.
     std::set<std::string> active;         ///< Store keys of the gateways whose addresses callers receive.
     state_mirror mirror;                  ///< Local copy of the store.
@@ -48,6 +50,7 @@
     store_codec peer_codec;                            ///< Translates calls to peer gateways.
     feed_calls source_calls;                           ///< Makes the calls of the feed.
     std::unique_ptr<state_feed> feed;                  ///< Keeps the local copy current.
+    std::unique_ptr<quota_calls> quota_reports;        ///< Reports the use of quotas, and keeps accounts.
     std::unique_ptr<registration> member_registration; ///< This VM's registration.
     std::unique_ptr<registration> crash_registration;  ///< This VM's records of requests that crash servers.
     bool crash_records_pending = false;                ///< A write of these records is scheduled.
@@ -61,12 +64,13 @@
 
     impl(gateway_settings s, store_codec c)
         : settings(std::move(s)), codec(std::move(c)), registry(settings.location, lapse_grace),
-          placement(settings.warmup), followers(mirror, follower_hooks()), log(loop),
+          placement(settings.warmup), quotas(settings.quota), followers(mirror, follower_hooks()), log(loop),
           peer_codec(make_peer_codec(member_key())), source_calls(loop, codec, peer_codec)
     {
         loop.set_uplink(settings.uplink_bytes_per_s);
         followers.set_uplink(settings.uplink_bytes_per_s);
         make_dispatcher();
+        make_quota_calls();
         make_caller_server();
         make_feed();
         plan_preconnects();
@@ -74,6 +78,8 @@
 
     /** Creates the dispatcher and the backend pool. */
     void make_dispatcher();
+    /** Creates the calls about quotas. */
+    void make_quota_calls();
     /** Creates the server for callers and listens on all addresses. */
     void make_caller_server();
     /** Creates the feed of the store and the registrations. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -51,6 +51,8 @@
         append_number(line, "coverable_percent", static_cast<std::int64_t>(summary.coverable_share * 100));
         append_number(line, "admitted_percent", static_cast<std::int64_t>(summary.admitted_share * 100));
     }
+    if (summary.quota_wait.count() > 0) append_number(line, "quota_wait_ms", summary.quota_wait.count());
+    if (summary.quota_isolated) line += ",\"quota_isolated\":true";
     if (summary.no_home > 0) append_number(line, "no_home", summary.no_home);
     if (summary.evacuated > 0) append_number(line, "evacuated", summary.evacuated);
     if (summary.cold > 0) append_number(line, "cold", summary.cold);
@@ -120,6 +122,10 @@
     append_quoted(line, summary.request_id);
     line += ",\"route\":";
     append_quoted(line, summary.route_name);
+    if (!summary.customer.value().empty()) {
+        line += ",\"customer\":";
+        append_quoted(line, summary.customer.value());
+    }
     append_number(line, "config", summary.version.value());
     append_number(line, "state_age_ms", state_age.count());
     append_number(line, "status", summary.status);
@@ -246,6 +252,12 @@
            {"source", change.source.empty() ? "here" : change.source}});
 }
 
+void gateway_log::quota_keeper(std::string const& keeper, char const* reason)
+{
+    if (!allowed(m_sources, source_lines_per_s)) return;
+    write({{"event", "quota_keeper"}, {"gateway", keeper}, {"change", "failed"}, {"reason", reason}});
+}
+
 void gateway_log::paused(milliseconds length)
 {
     if (allowed(m_sources, source_lines_per_s)) write({{"event", "paused"}, {"ms", length.count()}});
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -67,6 +67,9 @@
     /** Logs a change of the quarantine state of a request. @param change the change. @param remaining time until the
      *  quarantine of the request ends. */
     void quarantine(request_quarantine::change const& change, milliseconds remaining);
+    /** Logs that a gateway did not respond to reports of the use of quotas. @param keeper its store key. @param reason
+     *  why. */
+    void quota_keeper(std::string const& keeper, char const* reason);
     /** Logs that the process was paused while it had work to do. @param length length of the pause. */
     void paused(milliseconds length);
     /** Logs an event of the process: start, stop or reload. @param event name of the event. */
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -194,11 +194,13 @@
     auto const& config = configs.current();
     double const connections = config ? config->min_gather_connections() : 0;
     auto const max_active = static_cast<std::size_t>(connections / connections_per_gateway);
-    active = choose_active(members, max_active);
+    auto const before = std::exchange(active, choose_active(members, max_active));
     // Inactive gateways receive next to no requests, so the active ones divide the budgets among themselves. A gateway
     // that is not active itself counts all members.
     auto const sharing = active.contains(member_key()) ? active.size() : members.size();
     requests->set_vm_count(std::max(sharing, min_vms));
+    quotas.set_participants(active.size(), active.contains(member_key()));
+    if (active != before) quota_reports->on_active_changed();
     placement.quotas().set_participants(active, member_key(), loop.now());
 }
 
--- a/src/routing/serving_config.cpp
+++ b/src/routing/serving_config.cpp
@@ -29,8 +29,10 @@
 } // namespace
 
 serving_config::serving_config(config_version version, std::vector<route> routes,
-                               std::map<service_name, service_limits> services, caller_limits limits)
-    : m_version(version), m_routes(std::move(routes)), m_services(std::move(services)), m_limits(limits)
+                               std::map<service_name, service_limits> services, caller_limits limits,
+                               customer_directory customers)
+    : m_version(version), m_routes(std::move(routes)), m_services(std::move(services)), m_limits(limits),
+      m_customers(std::move(customers))
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i) {
         m_by_location.emplace(location_key(m_routes[i].host, m_routes[i].prefix), i);
--- a/src/trace/trace.cpp
+++ b/src/trace/trace.cpp
@@ -86,6 +86,13 @@
         return "partial: " + (failure.empty() ? "slow shards at the route's goal" : describe_failure(failure));
     if (reason == "starting") return "refused: the gateway knew no configuration yet";
     if (reason == "no_route") return "refused: no route of the configuration in force matches";
+    if (reason == "no_key") return "refused: the route needs an API key and the request had none";
+    if (reason == "unknown_key") return "refused: no customer of the configuration in force holds its API key";
+    if (reason == "over_quota") {
+        if (request.value("quota_isolated", false))
+            return "refused: this VM's own share of the customer's quota is used up, as no account could be asked";
+        return "refused: the customer's quota is used up";
+    }
     if (reason == "no_time") return "refused: the caller left too little time";
     if (reason == "overloaded") return "refused: queries queue at the backend servers (admission bound)";
     if (reason == "no_place") {
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -21,7 +21,8 @@
                 add_backend(service, replica);
         }
         if (config != nullptr) configs.set_if_newer(config_of(1, {"g0", "g1", "g2", "g3"}));
-        options.names = {"request-id", "deadline", "target", "signature", "not-run", "warmup", "parts", "missing"};
+        options.names = {"request-id", "deadline", "target",   "signature", "not-run",
+                         "warmup",     "parts",    "customer", "missing"};
         dispatcher_hooks hooks;
         hooks.send = [this](outgoing_attempt attempt) { sent.push_back(std::move(attempt)); };
         hooks.cancel = [this](attempt_id id) { canceled.insert(id.value()); };
@@ -29,7 +30,7 @@
             responses[key.value()] = std::move(response);
         };
         hooks.on_finished = [this](request_summary const& summary) { finished.push_back(summary); };
-        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, placement, quarantine,
+        requests = std::make_unique<dispatcher>(std::move(options), configs, registry, placement, quarantine, quotas,
                                                 std::move(hooks), 1);
     }
 
@@ -136,6 +137,7 @@
     backend_registry registry;                         ///< Backend servers.
     placement_rules placement;                         ///< Placement rules.
     request_quarantine quarantine;                     ///< Requests that crash backend servers.
+    quota_usage quotas;                                ///< Use of customers' quotas.
     clock::duration max_unread{0};                     ///< Upper bound on the time that requests were unread.
     clock::duration round_trip{0};                     ///< Network time of the requests.
     caller_address caller{"192.0.2.1"};                ///< Address of their caller.
