Feed: a starting gateway of a large failure domain reads from its peers, not from the store; quota accounts by window

Cause: after a power cut of all 985 VMs each VM reads the whole store: n x entries bytes (1 GB for 3,864 entries) through one link of 1 Gbit/s. Change: a gateway registers at its start and reads the gateways of its own failure domain first. Where there are more than six, only the largest reads the store; the sqrt(m) next ones read from it, the others from a random one of these. Pages of full reads are larger and encoded once for all. A registration says whether its VM has a copy; callers are sent to those that have one, once they are half of those wanted. Only VMs that callers are sent to write that into the store. Quota accounts now bind by the window of the rule, with a token bucket that holds the burst and two standard deviations, so that a small customer is not rejected for chance; a 429 is logged with its limit.

--- a/include/cornelspring/customers.hpp
+++ b/include/cornelspring/customers.hpp
@@ -6,8 +6,8 @@
 
 #include <cornelspring/places.hpp>
 
-#include <memory>
-#include <random>
+#include <deque>
+#include <functional>
 #include <string_view>
 #include <unordered_map>
 
@@ -95,15 +95,20 @@
 };
 
 /**
- * Accounts of the customers that this VM keeps for all VMs: one token bucket each. A report of requests that ran
- * already may overdraw an account; no VM gets a token until the debt is refilled.
+ * Accounts of the customers that this VM keeps for all VMs. Two limits bind: in no window are there more than r x w + b
+ * requests (rate r, window w, burst b), and a token bucket with rate r keeps a customer with many times its usual load
+ * from using all of this at once. The bucket holds b and two standard deviations of the number of arrivals in a window,
+ * so that a customer that stays below its rate is not rejected for chance.
+ * A report of requests that ran already may overdraw an account; no VM gets a token until the debt is refilled.
  */
 class quota_accounts {
 public:
+    /** @param window length of the window. */
+    explicit quota_accounts(std::chrono::milliseconds window = quota_tolerance{}.window) : m_window(window) {}
     /**
      * Charges a report. @param report the report. @param limit limit of the customer. @param whole_window whether no
-     * other VM kept the account during the last window: a new account then starts with the whole burst, otherwise
-     * without tokens for it, as another VM may have granted them.
+     * other VM kept the account during the last window. Otherwise a new account starts as if all of the limit had been
+     * used, as another VM may have granted it.
      * @param now current time. @return the response.
      */
     quota_verdict charge(quota_report const& report, quota_limit const& limit, bool whole_window, time_point now);
@@ -116,11 +121,30 @@
     std::size_t size() const { return m_accounts.size(); }
 
 private:
-    /** A token bucket. */
+    /** Requests that were charged at about the same time. */
+    struct charged {
+        time_point at;    ///< Time.
+        double count = 0; ///< Number of requests.
+    };
+    /** The account of one customer. */
     struct account {
-        double tokens = 0;     ///< Tokens; negative: debt.
-        time_point updated_at; ///< When it was last refilled.
+        double tokens = 0;          ///< Tokens; negative: debt.
+        time_point updated_at;      ///< When it was last refilled.
+        std::deque<charged> recent; ///< Charged within the window, oldest first.
+        double in_window = 0;       ///< Sum of these.
     };
+    /** Sets up a new account. */
+    void open(account& made, quota_limit const& limit, bool whole_window, time_point now) const;
+    /** Refills the tokens, and drops what has left the window. */
+    void refill(account& state, quota_limit const& limit, time_point now) const;
+    /** Charges @p count requests. */
+    void add(account& state, double count, time_point now) const;
+    /** @return the time until the account has a token again. */
+    std::chrono::milliseconds time_to_token(account const& state, quota_limit const& limit, time_point now) const;
+    /** @return the most requests in a window. */
+    double max_in_window(quota_limit const& limit) const;
+
+    std::chrono::milliseconds m_window;                  ///< Length of the window.
     std::unordered_map<std::string, account> m_accounts; ///< By name of the customer.
 };
 
--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -158,6 +158,7 @@
     std::string route_name;                ///< Route, or empty if none matched.
     customer_name customer;                ///< Holder of its API key; empty if none.
     milliseconds quota_wait{0};            ///< Time that it waited for a token of its customer's quota.
+    quota_limit quota;                     ///< Limit of its customer, if it was rejected for it.
     bool quota_isolated = false;           ///< The quota was decided by this VM's own share.
     config_version version;                ///< Configuration that it was handled with.
     int status = 0;                        ///< HTTP status of the response; 0 if the caller disconnected.
--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -84,6 +84,7 @@
     region_name region;    ///< Region.
     double capacity = 1;   ///< Processor cores it may use.
     bool stopping = false; ///< It still serves, but will stop within seconds.
+    bool synced = true;    ///< It has a copy of the store. Before that, it cannot serve callers.
 };
 /** Gateways by store key. */
 using member_map = std::map<std::string, gateway_member>;
@@ -117,6 +118,9 @@
     bool has_changes_after(store_position from) const;
     /** @return a page of the items that changed after @p from, without removals. @param from position. */
     store_batch page_after(store_position from) const;
+    /** Size of a page of a full read by a follower, in bytes; larger than page_bytes, as fewer round trips are needed
+     *  while nothing else waits for it. */
+    static constexpr std::size_t read_page_bytes = 192 * 1024;
     /** @return all items. */
     std::map<std::string, store_item> const& items() const { return m_items; }
     /** @return position of the copy. */
@@ -138,8 +142,9 @@
     void apply_change(store_item const& change);
     /** Drops the oldest removals beyond the number that is kept. */
     void drop_oldest_removals();
-    /** @return a page that starts after @p from. @param with_removals whether it includes removals. */
-    store_batch page(store_position from, bool with_removals) const;
+    /** @return a page that starts after @p from. @param with_removals whether it includes removals. @param max_bytes
+     * its size. */
+    store_batch page(store_position from, bool with_removals, std::size_t max_bytes) const;
 
     std::map<std::string, store_item> m_items;      ///< By key.
     std::map<std::string, store_position> m_newest; ///< Position of the newest change of each key.
@@ -223,11 +228,22 @@
 public:
     /** @param settings store, seeds, and locality of this VM. @param seed random seed. */
     feed_selector(feed_selector_settings settings, std::uint64_t seed);
+    /** @return the store as a source. */
+    feed_source store() const { return {"", m_settings.store}; }
     /** @return the source to watch, or nothing when a search must find one. @param members live gateways. */
     std::optional<feed_source> choose(member_map const& members) const;
-    /** @return the source of a full read: the store unless it failed, since many full reads at once would overload
-     *  the link of a small VM. @param members live gateways. */
-    std::optional<feed_source> choose_for_read(member_map const& members) const;
+    /**
+     * @return the source of a full read, or nothing when a search must find one. The bytes of full reads from the store
+     * grow with the product of VMs and backend servers: when all VMs of a large fleet start at once, its link is full
+     * for many seconds. So of a failure domain with m > max_store_reads_per_domain gateways only the largest reads the
+     * store; the sqrt(m) next ones read from it, and the others from a random one of these, so that large VMs, which
+     * serve the callers, are complete first and no VM sends more than about sqrt(m) full copies.
+     * @param members live gateways.
+     */
+    std::optional<feed_source> choose_for_read(member_map const& members);
+    /** @return the source of a later full read, when the changes since the local copy are not available: the store
+     * unless it failed. @param members live gateways. */
+    std::optional<feed_source> choose_to_reread(member_map const& members) const;
     /** @return the sources to ask in one round of a search. @param members live gateways. @param round 0 for the
      *  first. */
     std::vector<feed_source> search_targets(member_map const& members, int round);
@@ -277,6 +293,7 @@
 
 /** Kinds of calls to a source. */
 enum class feed_call_kind {
+    members,   ///< The registered gateways of this failure domain, before a full read; only from the store.
     read,      ///< A page of a full read.
     watch,     ///< Changes, waiting until there are some.
     freshness, ///< A freshness check: how current the copy is.
@@ -286,7 +303,7 @@
 struct feed_call {
     feed_source source;      ///< Receiver.
     feed_call_kind kind;     ///< Kind.
-    std::string page_token;  ///< For a read: token of the page; empty for the first.
+    std::string page_token;  ///< For a read and members: token of the page; empty for the first.
     store_position after;    ///< For the other kinds: position of the local copy.
     milliseconds wait{0};    ///< For a watch: how long the source may wait for changes.
     milliseconds timeout{0}; ///< The call fails after this.
@@ -314,6 +331,8 @@
     std::function<void(std::vector<store_item> const& items, store_position as_of)> on_snapshot;
     std::function<void(std::vector<store_item> const& items, store_position as_of)> on_changes; ///< Changes.
     std::function<void(feed_source const& source, char const* reason)> on_source_failed;        ///< A source failed.
+    /** The gateways of this failure domain were read, before the first full read. */
+    std::function<void(std::vector<store_item> const& items)> on_members;
     /** A source with a current copy responded; called before the response is applied. @param source source.
      *  @param unconfirmed_for time since the local copy was last confirmed. */
     std::function<void(feed_source const& source, milliseconds unconfirmed_for)> on_current_response;
@@ -414,7 +433,7 @@
     /** Sends pending responses as far as the followers' share of the link allows, and the rest later. */
     void send_pending();
     /** Makes a pending response, or makes it again if the age that it states is out of date. */
-    void update_response(pending_response& pending, time_point now) const;
+    void update_response(pending_response& pending, time_point now);
     /** Sends a pending response to some of its followers, as many as one part holds. */
     void send_part(pending_response& pending, time_point now);
     /** @return a response with @p batch, the age of the copy and the path to the store. */
@@ -424,12 +443,22 @@
     /** @return a response without changes. */
     follower_response unchanged_response() const;
 
-    state_mirror const& m_mirror;           ///< Local copy.
-    hooks m_hooks;                          ///< Outside calls.
-    std::optional<feed_source> m_source;    ///< Source that confirmed the copy last.
-    time_point m_confirmed_at;              ///< When the copy was last known to equal the store.
-    std::vector<std::string> m_path;        ///< Gateways between this VM and the store.
-    bool m_searching = false;               ///< This VM is searching for a source.
+    /** @return a page of a full read. A page is encoded once for all followers that read it within a second, because
+     *  some hundred VMs that start at once read the same pages. */
+    follower_response const& read_page(store_position from, time_point now);
+
+    /** A page of a full read, encoded. */
+    struct encoded_page {
+        follower_response response; ///< The response.
+        time_point created_at;      ///< When it was made.
+    };
+    std::map<store_position, encoded_page> m_read_pages; ///< By the position after which they start.
+    state_mirror const& m_mirror;                        ///< Local copy.
+    hooks m_hooks;                                       ///< Outside calls.
+    std::optional<feed_source> m_source;                 ///< Source that confirmed the copy last.
+    time_point m_confirmed_at;                           ///< When the copy was last known to equal the store.
+    std::vector<std::string> m_path;                     ///< Gateways between this VM and the store.
+    bool m_searching = false;                            ///< This VM is searching for a source.
     uplink_backlog m_follower_uplink;       ///< The followers' share of the link, modelled as a link of its own.
     std::deque<pending_response> m_pending; ///< Responses that wait for the link, in order of arrival.
     bool m_send_scheduled = false;          ///< A call of send_pending() is scheduled.
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -183,8 +183,8 @@
  * Chooses the active gateways: those whose addresses callers receive. Their number is limited for two reasons: if
  * there were more gateways than connections at a backend server, they would keep opening and closing connections; and a
  * gateway with more requests detects slow backend servers sooner. Each failure domain gets the same number, its largest
- * VMs first. Stopping gateways are chosen only if all are stopping. VMs that are much smaller than the others are left
- * out if the others have enough capacity.
+ * VMs first. Stopping gateways are chosen only if all are stopping, and those without a copy of the store only while
+ * most are without one. VMs that are much smaller than the others are left out if the others have enough capacity.
  * @param members live gateways. @param max_count most gateways to choose; at least one per failure domain is chosen.
  * @return store keys of the active gateways.
  */
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -150,6 +150,7 @@
                                quota_waiter{std::move(request.message), timing, std::move(request.summary), now});
         return false;
     }
+    request.summary.quota = request.by->quota;
     auto response = local_response(429, "the customer's quota is used up");
     auto const left_s = std::chrono::duration<double>(decision.retry_after).count();
     response.headers.push_back({"retry-after", retry_after(std::max(left_s, min_quota_retry_after_s))});
--- a/src/feed/feed_selector.cpp
+++ b/src/feed/feed_selector.cpp
@@ -2,6 +2,7 @@
 #include <cornelspring/feed.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cornelspring {
 namespace {
@@ -26,6 +27,9 @@
  * every leader read it, the calls to the store would grow with the number of failure domains. */
 constexpr std::size_t max_store_readers = 2;
 
+/** Gateways of a failure domain that may all make full reads of the store. */
+constexpr std::size_t max_store_reads_per_domain = 6;
+
 /** Leaders of failure domains. */
 using leader_list = std::vector<member_map::const_iterator>;
 
@@ -61,6 +65,17 @@
     return member.region == settings.region ? 1 : 2;
 }
 
+/** @return the gateways of @p domain that are not stopping, the largest first. */
+std::vector<member_map::const_iterator> domain_by_size(member_map const& members, domain_name const& domain)
+{
+    std::vector<member_map::const_iterator> found;
+    for (auto each = members.begin(); each != members.end(); ++each) {
+        if (each->second.domain == domain && !each->second.stopping) found.push_back(each);
+    }
+    std::sort(found.begin(), found.end(), [](auto left, auto right) { return larger_first(*left, *right); });
+    return found;
+}
+
 } // namespace
 
 bool larger_first(member_map::value_type const& left, member_map::value_type const& right)
@@ -123,10 +138,28 @@
     return alone ? m_found : std::nullopt;
 }
 
-std::optional<feed_source> feed_selector::choose_for_read(member_map const& members) const
+std::optional<feed_source> feed_selector::choose_to_reread(member_map const& members) const
 {
-    feed_source const store{"", m_settings.store};
-    return failed(store) ? choose(members) : store;
+    return failed(store()) ? choose(members) : store();
+}
+
+std::optional<feed_source> feed_selector::choose_for_read(member_map const& members)
+{
+    auto const ranked = domain_by_size(members, m_settings.domain);
+    if (ranked.size() > max_store_reads_per_domain) {
+        auto const self = static_cast<std::size_t>(
+            std::find_if(ranked.begin(), ranked.end(), [this](auto each) { return each->first == m_settings.self; }) -
+            ranked.begin());
+        auto const serving = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(ranked.size()))));
+        bool const second_level = self > serving;
+        std::vector<feed_source> sources;
+        for (std::size_t rank = second_level ? 1 : 0; rank <= std::min(serving, self); ++rank) {
+            if (rank == self) break;
+            if (auto const source = source_of(*ranked[rank]); !failed(source)) sources.push_back(source);
+        }
+        if (!sources.empty()) return second_level ? sources[m_random() % sources.size()] : sources.front();
+    }
+    return choose_to_reread(members);
 }
 
 std::optional<feed_source> feed_selector::due_for_recheck(member_map const& members, time_point now) const
--- a/src/feed/state_feed.cpp
+++ b/src/feed/state_feed.cpp
@@ -8,6 +8,13 @@
 
 /** Time-out for a page from the store, which normally responds within milliseconds. */
 constexpr milliseconds store_read_timeout{1200};
+/** How long a gateway that reads from a peer gateway waits for it to start and get a copy itself, before it reads
+ *  elsewhere. A leader needs about a second for a fleet of 985 VMs and 9,500 backend servers. */
+constexpr milliseconds max_read_wait{2000};
+/** A call that fails after this time got no answer: its receiver is down or cut off, and is not starting. */
+constexpr milliseconds min_no_answer_time{700};
+/** Pause before a peer gateway is asked for a full read again. */
+constexpr milliseconds read_retry_pause{200};
 /** Time-out for a page from a peer gateway: a page takes 30 ms on the link of a small VM, more while it is busy. */
 constexpr milliseconds peer_read_timeout{1500};
 /**
@@ -62,12 +69,15 @@
     feed_selector selector;                 ///< Choice of the source.
     feed_io io;                             ///< Outside calls.
     feed_events events;                     ///< Hooks.
+    bool members_known = false;             ///< The gateways of this failure domain were read, or cannot be.
+    time_point first_read_attempt;          ///< First failed read since a peer gateway last responded; epoch: none.
     bool is_synced = false;                 ///< A full read is complete.
     bool needs_read = true;                 ///< A full read must be made.
     store_position position;                ///< Position of the local copy.
     time_point confirmed_at;                ///< When the local copy was last known to equal the store.
     time_point source_confirmed_at;         ///< The same for the current source's copy, as the source stated.
     bool call_in_flight = false;            ///< A read or a watch is in flight.
+    time_point call_started_at;             ///< When it started.
     std::optional<feed_source> last_source; ///< Source of the last read or watch.
     std::uint64_t call_number = 0;          ///< Identifies responses to canceled calls.
     std::vector<store_item> pages;          ///< Items of the full read in progress.
@@ -86,12 +96,18 @@
 
     /** Makes the next read or watch, or searches for a source. */
     void start_next_call();
+    /** @return the source of the next read or watch, or nothing when a search must find one. */
+    std::optional<feed_source> next_source();
     /** Makes the next call after @p wait. */
     void schedule_next_call(milliseconds wait);
     /** @return the next read or watch for @p source. */
     feed_call state_call(feed_source const& source) const;
     /** Schedules a search in case the call is late, or the source's copy becomes too old during it. */
     void schedule_late_check(feed_call const& call, std::uint64_t number);
+    /** Handles the response to a read of the members. */
+    void handle_members(feed_source const& source, feed_response const& response);
+    /** @return whether a peer gateway that cannot be read from yet is asked again, as it may be starting too. */
+    bool retry_read(feed_source const& source);
     /** Handles the response to a read or a watch. */
     void handle_response(feed_source const& source, feed_response const& response);
     /** Handles a page of a full read. */
@@ -129,6 +145,7 @@
 
 feed_call state_feed::impl::state_call(feed_source const& source) const
 {
+    if (!members_known) return {source, feed_call_kind::members, next_page, {}, milliseconds(0), store_read_timeout};
     if (needs_read) {
         auto const timeout = source.is_store() ? store_read_timeout : peer_read_timeout;
         return {source, feed_call_kind::read, next_page, {}, milliseconds(0), timeout};
@@ -139,17 +156,26 @@
     return {source, feed_call_kind::watch, "", position, wait, wait + watch_margin};
 }
 
+std::optional<feed_source> state_feed::impl::next_source()
+{
+    if (!members_known) return selector.store();
+    if (!needs_read) return selector.choose(events.members());
+    // A gateway that needs a full read later lost its place in the history, as its peers may have: it reads the store.
+    return is_synced ? selector.choose_to_reread(events.members()) : selector.choose_for_read(events.members());
+}
+
 void state_feed::impl::start_next_call()
 {
     if (call_in_flight) return;
     recheck_preferred();
-    auto const source = needs_read ? selector.choose_for_read(events.members()) : selector.choose(events.members());
+    auto const source = next_source();
     if (!source) {
         search();
         return;
     }
     auto const call = state_call(*source);
     call_in_flight = true;
+    call_started_at = io.now();
     last_source = source;
     auto const number = ++call_number;
     schedule_late_check(call, number);
@@ -163,7 +189,7 @@
 void state_feed::impl::schedule_late_check(feed_call const& call, std::uint64_t number)
 {
     // A full read takes a while on a slow link; if it were started again from another source, it would never finish.
-    if (call.kind == feed_call_kind::read) return;
+    if (call.kind == feed_call_kind::read || call.kind == feed_call_kind::members) return;
     auto const allowed_delay = late_call_delay * (1 << std::min(sources_without_response, max_late_doublings));
     auto const late_at = io.now() + call.wait + allowed_delay;
     io.run_at(std::min(late_at, std::max(io.now() + allowed_delay, source_confirmed_at + max_confirmed_age)),
@@ -185,7 +211,9 @@
     // Before the last page, the local copy is older than the sender's.
     if (batch.next_page_token.empty()) confirmed_at = std::max(confirmed_at, source_confirmed_at);
     if (batch.age > max_confirmed_age) {
-        search(); // The source is still used meanwhile: no better one is known.
+        // The source is still used meanwhile: no better one is known. The age of a page of the first full read says
+        // little; the first watch shows how current the source is.
+        if (is_synced) search();
         return;
     }
     sources_without_response = 0;
@@ -195,9 +223,36 @@
     set_searching(false);
 }
 
+void state_feed::impl::handle_members(feed_source const& source, feed_response const& response)
+{
+    members_known = response.status != feed_status::ok || response.batch.next_page_token.empty();
+    next_page = members_known ? std::string() : response.batch.next_page_token;
+    if (response.status == feed_status::ok)
+        events.on_members(response.batch.items);
+    else
+        report_failure(source, response.status == 0 ? response.reason : "refused");
+    start_next_call();
+}
+
+bool state_feed::impl::retry_read(feed_source const& source)
+{
+    bool const no_answer = io.now() - call_started_at >= min_no_answer_time;
+    if (!needs_read || source.is_store() || no_answer) return false;
+    if (first_read_attempt == time_point{}) first_read_attempt = io.now();
+    if (io.now() - first_read_attempt >= max_read_wait) {
+        first_read_attempt = {};
+        return false;
+    }
+    next_page.clear();
+    schedule_next_call(read_retry_pause);
+    return true;
+}
+
 void state_feed::impl::handle_response(feed_source const& source, feed_response const& response)
 {
+    if (!members_known) return handle_members(source, response);
     if (response.status != feed_status::ok) {
+        if (retry_read(source)) return;
         bool const gone = !needs_read && response.status == feed_status::gone;
         if (gone)
             needs_read = true;
@@ -234,8 +289,10 @@
 {
     bool const first = next_page.empty();
     if (first) pages.clear();
-    // Pages are not a snapshot: changes made between them are fetched by watching from the first page's position.
-    if (first) first_position = batch.as_of;
+    first_read_attempt = {};
+    // Pages are not a snapshot: changes made between them are fetched by watching from the oldest page's position. That
+    // is the first page, except at a peer gateway that sends pages which it made earlier for others.
+    first_position = first ? batch.as_of : std::min(first_position, batch.as_of);
     pages.insert(pages.end(), batch.items.begin(), batch.items.end());
     next_page = batch.next_page_token;
     if (next_page.empty()) {
--- a/src/feed/state_mirror.cpp
+++ b/src/feed/state_mirror.cpp
@@ -80,7 +80,7 @@
     return apply(differences, as_of);
 }
 
-store_batch state_mirror::page(store_position from, bool with_removals) const
+store_batch state_mirror::page(store_position from, bool with_removals, std::size_t max_bytes) const
 {
     store_batch batch;
     batch.as_of = m_as_of;
@@ -90,7 +90,7 @@
         auto const& [changed_at, key] = *each;
         if (!with_removals && m_removed.contains(*each)) continue;
         // A page never ends between two changes of one revision.
-        if (bytes >= page_bytes && changed_at != last) {
+        if (bytes >= max_bytes && changed_at != last) {
             batch.as_of = last;
             batch.next_page_token = last.to_string();
             break;
@@ -106,7 +106,7 @@
 std::optional<store_batch> state_mirror::changes_after(store_position from) const
 {
     if (from < m_complete_from) return std::nullopt;
-    return page(from, true);
+    return page(from, true, page_bytes);
 }
 
 bool state_mirror::has_changes_after(store_position from) const
@@ -116,7 +116,7 @@
 
 store_batch state_mirror::page_after(store_position from) const
 {
-    auto batch = page(from, false);
+    auto batch = page(from, false, read_page_bytes);
     batch.as_of = m_as_of; // The reader gets changes made between the pages by watching from the first page's position.
     return batch;
 }
--- a/src/feed/state_publisher.cpp
+++ b/src/feed/state_publisher.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t max_part_bytes = 64 * 1024;
 /** A response older than this is made again before it is sent, because it states the age of the copy. */
 constexpr milliseconds response_lifetime{100};
+/** How long an encoded page of a full read is sent again. Its reader watches from the oldest of its pages. */
+constexpr milliseconds read_page_lifetime{1000};
 
 } // namespace
 
@@ -76,12 +78,27 @@
     });
 }
 
-void state_publisher::update_response(pending_response& pending, time_point now) const
+follower_response const& state_publisher::read_page(store_position from, time_point now)
 {
+    std::erase_if(m_read_pages, [now](auto const& each) { return each.second.created_at + read_page_lifetime <= now; });
+    auto const [found, is_new] = m_read_pages.try_emplace(from);
+    auto& page = found->second;
+    if (is_new) {
+        page.response = with_age(m_mirror.page_after(from));
+        page.response.body = m_hooks.encode(page.response.batch);
+        page.created_at = now;
+    }
+    return page.response;
+}
+
+void state_publisher::update_response(pending_response& pending, time_point now)
+{
+    if (pending.request.kind == feed_call_kind::read) {
+        pending.response = read_page(pending.request.after, now);
+        return;
+    }
     if (pending.created_at != time_point{} && now < pending.created_at + response_lifetime) return;
-    bool const read = pending.request.kind == feed_call_kind::read;
-    pending.response =
-        read ? with_age(m_mirror.page_after(pending.request.after)) : changes_after(pending.request.after);
+    pending.response = changes_after(pending.request.after);
     if (pending.response.status == feed_status::ok) pending.response.body = m_hooks.encode(pending.response.batch);
     pending.created_at = now;
 }
--- a/src/gateway/address_query.cpp
+++ b/src/gateway/address_query.cpp
@@ -20,6 +20,13 @@
  */
 constexpr double sufficient_share = 0.75;
 
+/** Gateways that have a copy of the store are chosen alone if there are this many, as a share of those that are chosen
+ *  when all have one. */
+constexpr double min_synced_share = 0.5;
+
+/** Gateways by failure domain, in the order in which they are chosen. */
+using domain_lists = std::map<domain_name, std::vector<member_map::const_iterator>>;
+
 /**
  * Removes small VMs from the active members. Fewer queries are late then, and each of the other VMs handles more
  * queries and detects slow backend servers sooner.
@@ -63,20 +70,14 @@
 
 } // namespace
 
-std::set<std::string> choose_active(member_map const& members, std::size_t max_count)
+namespace {
+
+/** @return the first @p max_count of @p by_domain, alternating between the failure domains, without small VMs. */
+std::set<std::string> choose_by_rank(member_map const& members, domain_lists const& by_domain, std::size_t max_count)
 {
-    std::map<domain_name, std::vector<member_map::const_iterator>> by_domain;
-    bool const any_running =
-        std::any_of(members.begin(), members.end(), [](auto const& m) { return !m.second.stopping; });
-    for (auto each = members.begin(); each != members.end(); ++each) {
-        if (any_running && each->second.stopping) continue;
-        by_domain[each->second.domain].push_back(each);
-    }
     std::size_t largest = 0;
-    for (auto& [domain, list] : by_domain) {
-        std::sort(list.begin(), list.end(), [](auto left, auto right) { return larger_first(*left, *right); });
+    for (auto const& [domain, list] : by_domain)
         largest = std::max(largest, list.size());
-    }
     std::set<std::string> active;
     for (std::size_t rank = 0; rank < largest; ++rank) {
         for (auto const& [domain, list] : by_domain) {
@@ -87,6 +88,32 @@
     return without_small_vms(members, active);
 }
 
+/** @return the members for which @p wanted returns true by failure domain, the largest first. */
+domain_lists by_domain_and_size(member_map const& members, std::function<bool(gateway_member const&)> const& wanted)
+{
+    domain_lists by_domain;
+    for (auto each = members.begin(); each != members.end(); ++each) {
+        if (wanted(each->second)) by_domain[each->second.domain].push_back(each);
+    }
+    for (auto& [domain, list] : by_domain)
+        std::sort(list.begin(), list.end(), [](auto left, auto right) { return larger_first(*left, *right); });
+    return by_domain;
+}
+
+} // namespace
+
+std::set<std::string> choose_active(member_map const& members, std::size_t max_count)
+{
+    bool const any_running =
+        std::any_of(members.begin(), members.end(), [](auto const& m) { return !m.second.stopping; });
+    auto const running = [any_running](gateway_member const& each) { return !any_running || !each.stopping; };
+    auto const synced = [&](gateway_member const& each) { return running(each) && each.synced; };
+    auto const all = choose_by_rank(members, by_domain_and_size(members, running), max_count);
+    auto const ready = choose_by_rank(members, by_domain_and_size(members, synced), max_count);
+    // While most VMs are starting, the few that are synced could not bear the load of all callers.
+    return static_cast<double>(ready.size()) < min_synced_share * static_cast<double>(all.size()) ? all : ready;
+}
+
 std::vector<endpoint> choose_addresses(member_map const& members, std::set<std::string> const& active,
                                        address_query const& query, region_set const& homes, std::mt19937_64& random)
 {
@@ -106,9 +133,13 @@
 
 std::string encode_member(gateway_member const& member)
 {
-    return nlohmann::json{{"address", member.address.to_string()}, {"peer", member.peer_address.to_string()},
-                          {"domain", member.domain.value()},       {"region", member.region.value()},
-                          {"capacity", member.capacity},           {"stopping", member.stopping}}
+    return nlohmann::json{{"address", member.address.to_string()},
+                          {"peer", member.peer_address.to_string()},
+                          {"domain", member.domain.value()},
+                          {"region", member.region.value()},
+                          {"capacity", member.capacity},
+                          {"stopping", member.stopping},
+                          {"synced", member.synced}}
         .dump();
 }
 
@@ -121,7 +152,8 @@
                 domain_name(fields.at("domain").get<std::string>()),
                 region_name(fields.at("region").get<std::string>()),
                 fields.at("capacity").get<double>(),
-                fields.at("stopping").get<bool>()};
+                fields.at("stopping").get<bool>(),
+                fields.value("synced", true)};
     } catch (nlohmann::json::exception const& failure) {
         throw error(error_kind::bad_request, std::string("malformed gateway registration: ") + failure.what(),
                     "Gateways of one fleet must run the same release.");
--- a/src/gateway/feed_calls.cpp
+++ b/src/gateway/feed_calls.cpp
@@ -3,8 +3,8 @@
 
 namespace cornelspring {
 
-feed_calls::feed_calls(event_loop& loop, store_codec const& store, store_codec const& peer)
-    : m_loop(loop), m_store(store), m_peer(peer), m_channel(loop)
+feed_calls::feed_calls(event_loop& loop, store_codec const& store, store_codec const& peer, std::string member_prefix)
+    : m_loop(loop), m_store(store), m_peer(peer), m_member_prefix(std::move(member_prefix)), m_channel(loop)
 {
 }
 
@@ -27,6 +27,7 @@
 {
     auto const& translate = codec(call.source);
     switch (call.kind) {
+    case feed_call_kind::members: return translate.read(m_member_prefix, call.page_token);
     case feed_call_kind::read: return translate.read("", call.page_token);
     case feed_call_kind::watch: return translate.watch("", call.after, call.wait);
     case feed_call_kind::freshness: break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,7 +98,8 @@
             settings.location.domain,
             settings.location.region,
             settings.capacity,
-            stopping};
+            stopping,
+            announced_synced};
 }
 
 // ---- Requests ----
@@ -202,6 +203,8 @@
 {
     m_impl->loop.on_signals({SIGTERM, SIGINT, SIGHUP}, [this](int number) { m_impl->on_signal(number); });
     m_impl->log.process("start");
+    if (m_impl->settings.caller_address)
+        m_impl->member_registration->set(m_impl->member_key(), encode_member(m_impl->own_member()));
     m_impl->feed->start();
     m_impl->loop.run();
     m_impl->log.process("stop");
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -31,6 +31,8 @@
     request_quarantine quarantine;        ///< Requests that crash backend servers.
     quota_usage quotas;                   ///< Use of customers' quotas by this VM.
     member_map members;                   ///< Gateways registered in the store.
+    bool members_changed = false;         ///< The set of gateways, or what depends on it, must be computed again.
+    bool announced_synced = false;        ///< This VM's registration says that it has a copy of the store.
     std::set<std::string> active;         ///< Store keys of the gateways whose addresses callers receive.
     state_mirror mirror;                  ///< Local copy of the store.
     int store_responses = 0;              ///< Consecutive responses of the store since the last full read.
@@ -65,7 +67,7 @@
     impl(gateway_settings s, store_codec c)
         : settings(std::move(s)), codec(std::move(c)), registry(settings.location, lapse_grace),
           placement(settings.warmup), quotas(settings.quota), followers(mirror, follower_hooks()), log(loop),
-          peer_codec(make_peer_codec(member_key())), source_calls(loop, codec, peer_codec)
+          peer_codec(make_peer_codec(member_key())), source_calls(loop, codec, peer_codec, domain_members_prefix())
     {
         loop.set_uplink(settings.uplink_bytes_per_s);
         followers.set_uplink(settings.uplink_bytes_per_s);
@@ -89,7 +91,9 @@
     /** @return whether callers may be directed to this gateway. */
     bool ready() const { return !stopping && feed->synced() && configs.current() != nullptr; }
     /** @return the store key of this VM's registration. */
-    std::string member_key() const { return member_prefix + settings.name; }
+    std::string member_key() const { return domain_members_prefix() + settings.name; }
+    /** @return the prefix of the store keys of the gateways of this failure domain. */
+    std::string domain_members_prefix() const { return member_prefix + settings.location.domain.value() + "/"; }
     /** @return the value of this VM's registration. */
     gateway_member own_member() const;
 
@@ -127,8 +131,12 @@
     void on_changes(std::vector<store_item> const& items, store_position as_of);
     /** Applies changes of the local copy to the gateway's state. */
     void apply_changes(std::vector<store_item> const& changes, store_position as_of);
-    /** Updates everything that depends on the set of gateways. */
+    /** Updates everything that depends on the set of gateways, if it has changed. */
     void refresh_members();
+    /** Registers this VM as synced if callers are sent to it then. The others save the write. */
+    void announce_synced(std::size_t max_active);
+    /** Applies the registrations of the gateways of this failure domain, read before the first full read. */
+    void on_domain_members(std::vector<store_item> const& items);
     /** Applies one item or its removal. */
     void on_item(store_item const& item);
     /** Applies a configuration. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -52,6 +52,10 @@
         append_number(line, "admitted_percent", static_cast<std::int64_t>(summary.admitted_share * 100));
     }
     if (summary.quota_wait.count() > 0) append_number(line, "quota_wait_ms", summary.quota_wait.count());
+    if (!summary.quota.unlimited()) {
+        append_number(line, "quota_per_s", static_cast<std::int64_t>(summary.quota.per_second));
+        append_number(line, "quota_burst", static_cast<std::int64_t>(summary.quota.burst));
+    }
     if (summary.quota_isolated) line += ",\"quota_isolated\":true";
     if (summary.no_home > 0) append_number(line, "no_home", summary.no_home);
     if (summary.evacuated > 0) append_number(line, "evacuated", summary.evacuated);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -36,6 +36,7 @@
 {
     feed_events events;
     events.on_snapshot = [this](auto const& items, store_position as_of) { on_snapshot(items, as_of); };
+    events.on_members = [this](auto const& items) { on_domain_members(items); };
     events.on_changes = [this](auto const& items, store_position as_of) { on_changes(items, as_of); };
     events.on_source_failed = [this](feed_source const& source, char const* reason) {
         log.source(source, "failed", reason, followers.age());
@@ -128,8 +129,17 @@
     auto differences = mirror.replace(items, as_of);
     bool const restored = known != store_position() && known.era != as_of.era;
     if (restored) differences = on_store_restored(std::move(differences), known, as_of);
+    // Gateways that left between the read of the members and this one are in neither.
+    std::erase_if(members, [this](auto const& each) { return !mirror.items().contains(each.first); });
+    members_changed = true;
     apply_changes(differences, as_of);
-    if (settings.caller_address) member_registration->set(member_key(), encode_member(own_member()));
+}
+
+void gateway::impl::on_domain_members(std::vector<store_item> const& items)
+{
+    for (auto const& item : items)
+        on_item(item);
+    changes.clear(); // The full read that follows is logged.
 }
 
 std::vector<store_item> gateway::impl::on_store_restored(std::vector<store_item> differences, store_position known,
@@ -191,9 +201,11 @@
 
 void gateway::impl::refresh_members()
 {
+    if (!std::exchange(members_changed, false)) return;
     auto const& config = configs.current();
     double const connections = config ? config->min_gather_connections() : 0;
     auto const max_active = static_cast<std::size_t>(connections / connections_per_gateway);
+    announce_synced(max_active);
     auto const before = std::exchange(active, choose_active(members, max_active));
     // Inactive gateways receive next to no requests, so the active ones divide the budgets among themselves. A gateway
     // that is not active itself counts all members.
@@ -204,6 +216,15 @@
     placement.quotas().set_participants(active, member_key(), loop.now());
 }
 
+void gateway::impl::announce_synced(std::size_t max_active)
+{
+    if (announced_synced || !settings.caller_address || !feed->synced()) return;
+    auto if_synced = members;
+    if_synced.insert_or_assign(member_key(), own_member()).first->second.synced = true;
+    announced_synced = choose_active(if_synced, max_active).contains(member_key());
+    if (announced_synced) member_registration->set(member_key(), encode_member(own_member()));
+}
+
 void gateway::impl::on_item(store_item const& item)
 {
     try {
@@ -230,6 +251,7 @@
     if (item.removed) return;
     auto const next = codec.parse_config(item.value);
     bool const newer = configs.set_if_newer(next);
+    members_changed = members_changed || newer;
     log.config(next->version(), item.position, newer);
 }
 
@@ -267,6 +289,7 @@
 
 void gateway::impl::on_member(store_item const& item)
 {
+    members_changed = true;
     if (item.removed) {
         members.erase(item.key);
         record_change(item.key, change_kind::left, item.position);
--- a/src/gateway/quota_calls.cpp
+++ b/src/gateway/quota_calls.cpp
@@ -22,7 +22,8 @@
 
 quota_calls::quota_calls(event_loop& loop, std::string self, quota_usage& usage, quota_tolerance tolerance,
                          hooks outside)
-    : m_loop(loop), m_self(std::move(self)), m_usage(usage), m_tolerance(tolerance), m_hooks(std::move(outside))
+    : m_loop(loop), m_self(std::move(self)), m_usage(usage), m_tolerance(tolerance), m_hooks(std::move(outside)),
+      m_accounts(tolerance.window)
 {
 }
 
--- a/tests/feed_fleet.cpp
+++ b/tests/feed_fleet.cpp
@@ -29,9 +29,10 @@
     std::unique_ptr<state_feed> feed;                                             ///< Its feed.
     fault_mode fault = fault_mode::none;                                          ///< Fault towards all others.
     fault_mode store_fault = fault_mode::none;                                    ///< Fault towards the store only.
-    std::uint64_t call = 0; ///< Number of the current read or watch.
-    time_point busy_until;  ///< When its queued work is done.
-    uplink_backlog link;    ///< Bytes waiting for its link.
+    std::uint64_t call = 0;        ///< Number of the current read or watch.
+    time_point busy_until;         ///< When its queued work is done.
+    std::int64_t pages_served = 0; ///< Pages of full reads sent.
+    uplink_backlog link;           ///< Bytes waiting for its link.
 };
 
 feed_fleet::feed_fleet(int vms, int domains, std::uint64_t seed) : m_random(seed)
@@ -82,6 +83,7 @@
     };
     feed_events events;
     events.on_snapshot = [&vm](auto const& items, store_position as_of) { vm.mirror.replace(items, as_of); };
+    events.on_members = [](auto const&) {};
     events.on_changes = [&vm](auto const& items, store_position as_of) { vm.mirror.apply(items, as_of); };
     events.on_source_failed = [](feed_source const&, char const*) {};
     events.on_copy_confirmed = [&vm](feed_source const& source, time_point at, auto const& path) {
@@ -125,11 +127,26 @@
     next->key = place->key;
     next->domain = place->domain;
     next->region = place->region;
+    next->link = uplink_backlog(m_bytes_per_ms * 1000);
     place->fault = fault_mode::unreachable;
     m_stopped_vms.push_back(std::exchange(place, std::move(next)));
     start(vm);
 }
 
+void feed_fleet::restart_all()
+{
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        restart(static_cast<int>(i));
+}
+
+std::int64_t feed_fleet::most_pages_served() const
+{
+    std::int64_t most = 0;
+    for (auto const& vm : m_vms)
+        most = std::max(most, vm->pages_served);
+    return most;
+}
+
 bool feed_fleet::all_match_store() const
 {
     auto const same = [this](int vm) {
@@ -306,7 +323,9 @@
     if (vm.store_fault == fault_mode::unreachable || vm.fault != fault_mode::none) return;
     ++m_store_calls;
     if (vm.store_fault == fault_mode::refusing) return send_response({503, "", {}});
+    if (call.kind == feed_call_kind::members) return send_response({200, "", {{}, m_position, {}, {}, {}}});
     if (call.kind == feed_call_kind::read) {
+        ++m_store_pages;
         auto const from = parse_position(call.page_token).value_or(store_position());
         after(store_response_time, [this, send_response, from] { send_response({200, "", m_store.page_after(from)}); });
         return;
@@ -338,7 +357,8 @@
     if (peer.fault == fault_mode::unreachable) return;
     if (peer.fault == fault_mode::refusing) return send_response({503, "", {}});
     request_key const key(++m_last_key);
-    peer.pending_requests[key.value()] = [this, &peer, send_response](feed_response const& result) {
+    peer.pending_requests[key.value()] = [&peer, send_response, kind = call.kind](feed_response const& result) {
+        if (kind == feed_call_kind::read && result.status == feed_status::ok) ++peer.pages_served;
         if (peer.fault != fault_mode::unreachable) send_response(result);
     };
     auto const known =
--- a/tests/feed_fleet.hpp
+++ b/tests/feed_fleet.hpp
@@ -31,6 +31,12 @@
     void restore_copy();
     /** Restarts gateway @p vm with an empty local copy. */
     void restart(int vm);
+    /** Restarts all gateways at once. */
+    void restart_all();
+    /** @return pages of full reads that the store has served so far. */
+    std::int64_t store_pages() const { return m_store_pages; }
+    /** @return the most pages of full reads that one gateway has served so far. */
+    std::int64_t most_pages_served() const;
     /** @return whether the local copy of every gateway without a fault equals the store. */
     bool all_match_store() const;
     /** Advances the time until all_match_store(). @return how long it took, at most @p limit. */
@@ -110,6 +116,7 @@
     member_map m_members;
     std::mt19937_64 m_random;
     std::int64_t m_store_calls = 0;
+    std::int64_t m_store_pages = 0;
     std::uint64_t m_last_key = 0;
     clock::duration m_longest_link_wait{0};
     double m_bytes_per_ms = 1e9;
--- a/tests/test_customers.cpp
+++ b/tests/test_customers.cpp
@@ -298,6 +298,33 @@
     CHECK(fleet.rejected * 500 <= fleet.asked);
 }
 
+TEST_CASE("quota: a small customer below its limit is not rejected for chance")
+{
+    quota_fleet fleet(18, 18, {3, 3});
+    std::mt19937_64 random(11);
+    for (int ms = 0; ms < 200000; ++ms) {
+        if (std::uniform_real_distribution<double>(0, 1)(random) < 0.0019) fleet.request(random() % 18);
+        fleet.step();
+    }
+    CHECK(fleet.asked > 300);
+    CHECK(fleet.rejected * 500 <= fleet.asked);
+}
+
+TEST_CASE("quota: a new account starts as if the limit had been used, when another VM may have kept it")
+{
+    quota_accounts accounts;
+    quota_limit const limit{16, 16};
+    time_point const now{100s};
+    auto const first = accounts.charge({customer_name("a"), 0, 40}, limit, false, now);
+    CHECK(first.granted <= 1);
+    CHECK(first.blocked_for > 0ms);
+    int later = 0;
+    for (int i = 1; i <= 50; ++i)
+        later += accounts.charge({customer_name("a"), 0, 40}, limit, false, now + i * 100ms).granted;
+    CHECK(later <= 16 * 5 + 16);
+    CHECK(later >= 16 * 4);
+}
+
 TEST_CASE("quota: VMs that are cut off from the account use their own share only")
 {
     quota_tolerance const tolerance{5s, 20};
--- a/tests/test_state_feed.cpp
+++ b/tests/test_state_feed.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 using namespace cornelspring;
 using namespace cornelspring::testing;
 using namespace std::chrono_literals;
@@ -392,3 +394,39 @@
         CHECK_THROWS_AS(codec.parse_batch(response), error);
     }
 }
+
+TEST_CASE("feed: when all gateways of a fleet start at once, the full reads of the store do not grow with the fleet")
+{
+    for (int const vms : {78, 985, 2000}) {
+        CAPTURE(vms);
+        int const domains = 6;
+        int const items = vms < 1000 ? 1200 : 300;
+        auto const fleet = synced_fleet(vms, domains, 1);
+        for (int i = 0; i < items; ++i)
+            fleet->write("servers/" + std::to_string(i), std::string(130, 'x'));
+        fleet->run(10s);
+        REQUIRE(fleet->all_match_store());
+        auto const before = fleet->store_pages();
+        fleet->restart_all();
+        auto const pages_per_copy = 1 + items * 190 / static_cast<int>(state_mirror::read_page_bytes);
+        CHECK(fleet->time_until_all_match(8s).count() < 5000);
+        CHECK_MESSAGE(fleet->store_pages() - before <= domains * pages_per_copy, "one full read in a failure domain");
+        auto const width = std::ceil(std::sqrt(vms / domains)) + 1;
+        CHECK_MESSAGE(static_cast<double>(fleet->most_pages_served()) <= 2.5 * width * pages_per_copy,
+                      "no gateway sends more than some sqrt(m) copies");
+    }
+}
+
+TEST_CASE("feed: gateways that start while the first ones of their failure domain are down get a copy from others")
+{
+    auto const fleet = synced_fleet(120, 6, 3);
+    for (int i = 0; i < 500; ++i)
+        fleet->write("servers/" + std::to_string(i), "x");
+    fleet->run(10s);
+    fleet->inject_fault(0.35, fault_mode::unreachable);
+    auto const live = fleet->live();
+    for (int i = 0; i < 20; ++i)
+        fleet->restart(live[static_cast<std::size_t>(i)]);
+    // Two time-outs of 1.5 s at sources that do not respond, and the read itself.
+    CHECK(fleet->time_until_all_match(10s).count() < 2 * 1500 + 3500);
+}
