Failures of backend servers shared by all VMs; each VM prefers a few replicas of a shard

Cause: on the fleet a VM sends one query in two seconds over 180 shards with 21 replicas each. Change: a VM prefers the four nearest replicas of a shard (in an order that differs between VMs; the others cost 5 ms more) and connects ahead to these alone. Active gateways report the outcomes of attempts to one of them (rendezvous hashing, the second one if it does not respond), each 250 ms while a server fails, each second otherwise, and get the failing share of each server in eight steps, changes only. Choice of a replica counts the larger of its own and the shared failure rate. Both can be switched off (shared_failures, preferred_replicas).

--- a/include/cornelspring/base.hpp
+++ b/include/cornelspring/base.hpp
@@ -7,7 +7,9 @@
 #include <map>
 #include <optional>
 #include <stdexcept>
+#include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -278,4 +280,15 @@
 /** @return the contents of the file at @p path. @param path file. @throw error not_found when it cannot be read. */
 std::string read_file(std::string const& path);
 
+// ---- Rendezvous hashing ----
+
+/**
+ * Chooses the nodes that are responsible for a subject, so that all processes with the same set choose the same ones,
+ * and the loss of a node moves only its own subjects.
+ * @param subject subject. @param nodes all nodes. @param count most nodes to return.
+ * @return the nodes, in order of preference.
+ */
+std::vector<std::string> rendezvous_order(std::string_view subject, std::set<std::string> const& nodes,
+                                          std::size_t count);
+
 } // namespace cornelspring
--- a/include/cornelspring/customers.hpp
+++ b/include/cornelspring/customers.hpp
@@ -228,14 +228,6 @@
     std::set<std::string> m_due;                        ///< Names of customers with something to report.
 };
 
-/**
- * @return the VMs that keep the account of @p name, in the order in which they are asked (rendezvous hashing, so that
- * the loss of a VM moves its accounts only). @param name customer. @param vms store keys of the active VMs.
- * @param count most VMs to return.
- */
-std::vector<std::string> account_keepers(customer_name const& name, std::set<std::string> const& vms,
-                                         std::size_t count);
-
 /** @return @p reports as the body of a call between gateways. @param reports reports. */
 std::string encode_quota_reports(std::vector<quota_report> const& reports);
 /** @return the reports in @p body. @param body body. @throw error bad_request when malformed. */
--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -99,12 +99,13 @@
  * Pre-connecting speeds up the first queries after a start, a reshard or an idle period, and hedges to servers that
  * rarely receive one. Opening a connection takes two round trips and the server's handshake, which is most of the time
  * that a caller of high priority waits.
- * @param config configuration. @param registry backend servers. @param placement placement rules. @param connected
- * returns whether there is a connection to a server. @param random random source for the order. @param now current
- * time.
+ * @param config configuration. @param registry backend servers. @param placement placement rules.
+ * @param max_replicas most servers of a shard; the nearest ones. @param connected returns whether there is a connection
+ * to a server. @param random random source for the order. @param now current time.
  */
 std::vector<std::shared_ptr<backend_server>>
 backends_to_preconnect(serving_config const& config, backend_registry& registry, placement_rules const& placement,
+                       std::size_t max_replicas,
                        std::function<bool(std::shared_ptr<backend_server> const&)> const& connected,
                        std::mt19937_64& random, time_point now);
 
@@ -194,6 +195,8 @@
     std::function<void(attempt_id)> cancel;                  ///< Cancels an attempt; a later result is ignored.
     std::function<void(request_key, http_response)> respond; ///< Sends the response to a caller.
     std::function<void(request_summary const&)> on_finished; ///< Called when a request has finished.
+    /** Called when an attempt has finished. May be empty. */
+    std::function<void(backend_server const&, bool failed)> on_attempt_finished;
 };
 
 /** Settings of the dispatcher. */
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -222,10 +222,13 @@
 struct backend_server {
     backend_registration registration;           ///< Its last registration.
     proximity distance = proximity::same_domain; ///< Its distance from this VM.
-    server_placement placement;                  ///< Input of the placement rules.
-    backend_load load;                           ///< Observed load, latency and failures.
-    std::optional<time_point> draining_since;    ///< When this VM was notified that it is draining.
-    bool removed = false;                        ///< Its registration was removed: no new attempts.
+    std::uint64_t affinity = 0;                  ///< Order among servers at the same distance, different on each VM.
+    std::size_t preference_rank = 0;          ///< Rank in its service by distance, then affinity; 0 is preferred most.
+    server_placement placement;               ///< Input of the placement rules.
+    backend_load load;                        ///< Observed load, latency and failures.
+    double shared_failure_rate = 0;           ///< Share of the attempts of all VMs that fail there, 0 to 1.
+    std::optional<time_point> draining_since; ///< When this VM was notified that it is draining.
+    bool removed = false;                     ///< Its registration was removed: no new attempts.
     std::optional<time_point> lapsed_until; ///< Its registration lapsed in a store outage; it is removed at that time.
 };
 
@@ -303,9 +306,9 @@
 class backend_registry {
 public:
     /** @param where locality of this VM. @param lapse_grace time within which registrations that lapsed in a store
-     * outage may return. */
-    backend_registry(locality where, milliseconds lapse_grace)
-        : m_locality(std::move(where)), m_lapse_grace(lapse_grace)
+     * outage may return. @param seed seed of the servers' affinity to this VM. */
+    backend_registry(locality where, milliseconds lapse_grace, std::uint64_t seed = 0)
+        : m_locality(std::move(where)), m_lapse_grace(lapse_grace), m_seed(seed)
     {
     }
     /**
@@ -337,11 +340,14 @@
      * registration.
      */
     bool outdated(backend_registration const& registration) const;
+    /** Sets the preference ranks of the servers of @p group. @param group service. */
+    static void rank_by_preference(service_group& group);
     /** Removes a backend server from its group: it gets no new attempts. @param server backend server. */
     void retire(std::shared_ptr<backend_server> const& server);
 
     locality m_locality;        ///< Locality of this VM.
     milliseconds m_lapse_grace; ///< Time within which lapsed registrations may return.
+    std::uint64_t m_seed;       ///< Seed of the servers' affinity to this VM.
     time_point m_lapses_until;  ///< Removals until then may be lapses.
     std::unordered_map<std::string, std::unique_ptr<service_group>> m_groups;    ///< By service name.
     std::unordered_map<std::string, std::shared_ptr<backend_server>> m_backends; ///< By id.
@@ -358,10 +364,15 @@
 struct selection_options {
     double other_region_penalty_ms =
         25; ///< Added to the expected wait in another region: traffic between regions is costly.
-    double other_domain_penalty_ms = 2;      ///< Added to the expected wait in another failure domain of the region.
+    double other_domain_penalty_ms = 2; ///< Added to the expected wait in another failure domain of the region.
+    /** Replicas of a shard that this VM prefers, the nearest ones. With twenty replicas of each of some hundred shards,
+     *  a VM that uses all of them keeps a connection to each, and sees each too seldom to learn which ones are slow. */
+    std::size_t preferred_replicas = 4;
+    double other_replica_penalty_ms = 5;     ///< Added to the expected wait at the others: about a new connection.
     double cold_factor = 1.6;                ///< Slowdown of a cold backend server.
     double failure_weight = 5;               ///< Weight of the recent failure rate.
     bool by_expected_wait = true;            ///< Choose by expected wait; else by distance only.
+    bool shared_failures = true;             ///< Count the failures that other VMs observe.
     bool avoid_suspect = true;               ///< Avoid backend servers that failed or stalled recently.
     milliseconds draining_last_resort{1000}; ///< How long a draining one may be used when no other is left.
 };
@@ -393,6 +404,7 @@
     selection_options const& options;    ///< Weights.
     placement_rules const& placement;    ///< Which backend servers the request may be sent to.
     placement_requirements requirements; ///< What the rules need of the request.
+    std::size_t preferred = std::numeric_limits<std::size_t>::max(); ///< Number of servers that are preferred.
 };
 
 /**
--- a/src/customers/quota_accounts.cpp
+++ b/src/customers/quota_accounts.cpp
@@ -27,17 +27,6 @@
     return std::max(limit.burst, 1.0) + spare_deviations * std::sqrt(arrivals);
 }
 
-/** @return a hash of @p text that is the same in every process (FNV-1a, with a final mix). */
-std::uint64_t stable_hash(std::string_view text)
-{
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (unsigned char const byte : text)
-        hash = (hash ^ byte) * 1099511628211ULL;
-    hash ^= hash >> 33;
-    hash *= 0xff51afd7ed558ccdULL;
-    return hash ^ (hash >> 33);
-}
-
 } // namespace
 
 double quota_accounts::max_in_window(quota_limit const& limit) const
@@ -129,18 +118,4 @@
     std::erase_if(m_accounts, [&](auto const& each) { return each.second.updated_at + idle < now; });
 }
 
-std::vector<std::string> account_keepers(customer_name const& name, std::set<std::string> const& vms, std::size_t count)
-{
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    ranked.reserve(vms.size());
-    for (auto const& vm : vms)
-        ranked.emplace_back(stable_hash(name.value() + "\n" + vm), vm);
-    auto const kept = std::min(count, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
-    std::vector<std::string> keepers;
-    for (std::size_t i = 0; i < kept; ++i)
-        keepers.push_back(std::move(ranked[i].second));
-    return keepers;
-}
-
 } // namespace cornelspring
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -308,7 +308,9 @@
 
 selection_context dispatcher::impl::context(request_state const& request, shard_state const& shard) const
 {
-    return {options.selection, placement, {request.home_region_set, *shard.warmup}};
+    auto const preferred =
+        request.gathers() ? options.selection.preferred_replicas : std::numeric_limits<std::size_t>::max();
+    return {options.selection, placement, {request.home_region_set, *shard.warmup}, preferred};
 }
 
 void dispatcher::impl::count_miss(request_summary& summary, selection_failure miss)
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -252,6 +252,8 @@
     attempts.erase(found);
     auto const took = std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.sent_at);
     attempt.target->load.on_finished(result.outcome, took, now);
+    bool const failed = result.outcome != attempt_status::answered || result.response.status / 100 == 5;
+    if (hooks.on_attempt_finished) hooks.on_attempt_finished(*attempt.target, failed);
     if (result.outcome == attempt_status::wrong_server) attempt.target->removed = true;
     if (result.outcome == attempt_status::answered) update_warmup(*attempt.target, result.response, now);
     if (result.outcome == attempt_status::answered) {
--- a/src/dispatch/preconnect.cpp
+++ b/src/dispatch/preconnect.cpp
@@ -7,6 +7,7 @@
 
 std::vector<std::shared_ptr<backend_server>>
 backends_to_preconnect(serving_config const& config, backend_registry& registry, placement_rules const& placement,
+                       std::size_t max_replicas,
                        std::function<bool(std::shared_ptr<backend_server> const&)> const& connected,
                        std::mt19937_64& random, time_point now)
 {
@@ -25,10 +26,15 @@
                 return placement.refusal(server.placement, demand, now) == placement_refusal::none;
             });
         };
-        for (auto const& server : registry.group(service).backends) {
-            bool const wanted =
-                !server->removed && !server->draining_since && !server->load.suspect(now) && reachable(*server);
-            if (wanted && server->load.in_flight() == 0 && !connected(server)) missing.push_back(server);
+        std::vector<std::shared_ptr<backend_server>> usable;
+        for (auto const& server : registry.group(service).backends)
+            if (!server->removed && !server->draining_since && reachable(*server)) usable.push_back(server);
+        std::sort(usable.begin(), usable.end(),
+                  [](auto const& left, auto const& right) { return left->preference_rank < right->preference_rank; });
+        usable.resize(std::min(usable.size(), max_replicas));
+        for (auto const& server : usable) {
+            bool const idle = server->load.in_flight() == 0 && !server->load.suspect(now);
+            if (idle && !connected(server)) missing.push_back(server);
         }
     }
     std::shuffle(missing.begin(), missing.end(), random);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,9 @@
         metrics.on_request(summary);
         log.on_request(summary, followers.age());
     };
+    hooks.on_attempt_finished = [this](backend_server const& server, bool failed) {
+        failures.on_outcome(server.registration.id.value(), failed, loop.now());
+    };
     requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, placement, quarantine, quotas,
                                             std::move(hooks), random());
     requests->set_vm_count(min_vms);
@@ -42,6 +45,23 @@
     });
 }
 
+void gateway::impl::make_failure_calls()
+{
+    failure_calls::hooks hooks;
+    hooks.members = [this]() -> member_map const& { return members; };
+    hooks.active = [this]() -> std::set<std::string> const& { return active; };
+    hooks.on_changed = [this](std::string const& collector, std::size_t failing) {
+        log.failing_servers(collector, failing);
+    };
+    failure_reports = std::make_unique<failure_calls>(loop, member_key(), failures, random() | 1, std::move(hooks));
+}
+
+void gateway::impl::on_failure_level(std::string const& server, int level)
+{
+    if (auto const known = registry.find(backend_id(server)))
+        known->shared_failure_rate = static_cast<double>(level) / failure_level::steps;
+}
+
 void gateway::impl::make_quota_calls()
 {
     quota_calls::hooks hooks;
@@ -120,7 +140,9 @@
 {
     auto const path = request.path.substr(0, request.path.find('?'));
     http_response response;
-    if (request.method == "POST" && path == peer_paths::quota) {
+    if (request.method == "POST" && path == peer_paths::failures) {
+        response = failure_reports->handle_report(request);
+    } else if (request.method == "POST" && path == peer_paths::quota) {
         response = quota_reports->handle_reports(request);
     } else if (request.method != "GET") {
         response.status = 405;
--- a/src/gateway/gateway_connections.cpp
+++ b/src/gateway/gateway_connections.cpp
@@ -24,7 +24,9 @@
         return pool->skip_preconnect(server);
     };
     bool const idle = preconnect_queue.empty();
-    preconnect_queue = backends_to_preconnect(*configs.current(), registry, placement, connected, random, loop.now());
+    preconnect_queue =
+        backends_to_preconnect(*configs.current(), registry, placement, settings.dispatch.selection.preferred_replicas,
+                               connected, random, loop.now());
     if (idle) open_preconnects();
 }
 
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -1,6 +1,7 @@
 /** @file gateway_impl.hpp State of the gateway process, shared by its source files (internal). */
 #pragma once
 
+#include "failure_calls.hpp"
 #include "feed_calls.hpp"
 #include "gateway_log.hpp"
 #include "gateway_metrics.hpp"
@@ -52,6 +53,8 @@
     store_codec peer_codec;                            ///< Translates calls to peer gateways.
     feed_calls source_calls;                           ///< Makes the calls of the feed.
     std::unique_ptr<state_feed> feed;                  ///< Keeps the local copy current.
+    failure_log failures;                              ///< Failures of backend servers, here and at other VMs.
+    std::unique_ptr<failure_calls> failure_reports;    ///< Shares these with the other gateways.
     std::unique_ptr<quota_calls> quota_reports;        ///< Reports the use of quotas, and keeps accounts.
     std::unique_ptr<registration> member_registration; ///< This VM's registration.
     std::unique_ptr<registration> crash_registration;  ///< This VM's records of requests that crash servers.
@@ -65,14 +68,16 @@
     bool stopped_accepting = false;                    ///< Listeners are closed.
 
     impl(gateway_settings s, store_codec c)
-        : settings(std::move(s)), codec(std::move(c)), registry(settings.location, lapse_grace),
+        : settings(std::move(s)), codec(std::move(c)), registry(settings.location, lapse_grace, std::random_device{}()),
           placement(settings.warmup), quotas(settings.quota), followers(mirror, follower_hooks()), log(loop),
-          peer_codec(make_peer_codec(member_key())), source_calls(loop, codec, peer_codec, domain_members_prefix())
+          peer_codec(make_peer_codec(member_key())), source_calls(loop, codec, peer_codec, domain_members_prefix()),
+          failures([this](std::string const& server, int level) { on_failure_level(server, level); })
     {
         loop.set_uplink(settings.uplink_bytes_per_s);
         followers.set_uplink(settings.uplink_bytes_per_s);
         make_dispatcher();
         make_quota_calls();
+        make_failure_calls();
         make_caller_server();
         make_feed();
         plan_preconnects();
@@ -80,6 +85,10 @@
 
     /** Creates the dispatcher and the backend pool. */
     void make_dispatcher();
+    /** Creates the calls about failing backend servers. */
+    void make_failure_calls();
+    /** Sets the failing share of attempts at a backend server, in steps, as observed by all VMs. */
+    void on_failure_level(std::string const& server, int level);
     /** Creates the calls about quotas. */
     void make_quota_calls();
     /** Creates the server for callers and listens on all addresses. */
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -262,6 +262,12 @@
     write({{"event", "quota_keeper"}, {"gateway", keeper}, {"change", "failed"}, {"reason", reason}});
 }
 
+void gateway_log::failing_servers(std::string const& collector, std::size_t failing)
+{
+    if (!allowed(m_learned, learned_lines_per_s)) return;
+    write({{"event", "failing_servers"}, {"collector", collector}, {"count", failing}});
+}
+
 void gateway_log::paused(milliseconds length)
 {
     if (allowed(m_sources, source_lines_per_s)) write({{"event", "paused"}, {"ms", length.count()}});
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -70,6 +70,9 @@
     /** Logs that a gateway did not respond to reports of the use of quotas. @param keeper its store key. @param reason
      *  why. */
     void quota_keeper(std::string const& keeper, char const* reason);
+    /** Logs how many backend servers fail as observed by all VMs. @param collector gateway that collects the outcomes.
+     *  @param failing number of these servers. */
+    void failing_servers(std::string const& collector, std::size_t failing);
     /** Logs that the process was paused while it had work to do. @param length length of the pause. */
     void paused(milliseconds length);
     /** Logs an event of the process: start, stop or reload. @param event name of the event. */
--- a/src/gateway/quota_calls.cpp
+++ b/src/gateway/quota_calls.cpp
@@ -29,7 +29,7 @@
 
 std::string quota_calls::choose_keeper(customer_name const& name) const
 {
-    for (auto const& key : account_keepers(name, m_hooks.active(), max_keepers)) {
+    for (auto const& key : rendezvous_order(name.value(), m_hooks.active(), max_keepers)) {
         // A VM whose local copy is old may be cut off, and another one keeps its accounts already.
         if (key == m_self && m_hooks.state_age() > max_fresh_age) continue;
         auto const found = m_keepers.find(key);
@@ -124,7 +124,7 @@
 {
     m_active_since = m_loop.now();
     m_accounts.drop_unless([this](customer_name const& name) {
-        auto const keepers = account_keepers(name, m_hooks.active(), max_keepers);
+        auto const keepers = rendezvous_order(name.value(), m_hooks.active(), max_keepers);
         return std::find(keepers.begin(), keepers.end(), m_self) != keepers.end();
     });
     std::erase_if(m_keepers, [this](auto const& each) {
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -33,6 +33,16 @@
     return std::min(doubled, suspect_longest);
 }
 
+/** @return @p value with its bits mixed, so that similar values are ordered independently. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    return value ^ (value >> 33);
+}
+
 } // namespace
 
 char const* to_string(attempt_status end)
@@ -111,7 +121,19 @@
 void backend_registry::retire(std::shared_ptr<backend_server> const& server)
 {
     server->removed = true;
-    std::erase(group(server->registration.service).backends, server);
+    auto& services_group = group(server->registration.service);
+    std::erase(services_group.backends, server);
+    rank_by_preference(services_group);
+}
+
+void backend_registry::rank_by_preference(service_group& group)
+{
+    auto ranked = group.backends;
+    std::sort(ranked.begin(), ranked.end(), [](auto const& left, auto const& right) {
+        return std::tie(left->distance, left->affinity) < std::tie(right->distance, right->affinity);
+    });
+    for (std::size_t rank = 0; rank < ranked.size(); ++rank)
+        ranked[rank]->preference_rank = rank;
 }
 
 bool backend_registry::apply(backend_registration const& registration, time_point now)
@@ -122,15 +144,13 @@
                                             known->registration.service != registration.service);
     if (other) retire(std::exchange(known, nullptr));
     bool const is_new = known == nullptr;
-    if (is_new) {
-        known = std::make_shared<backend_server>();
-        group(registration.service).backends.push_back(known);
-    }
+    if (is_new) known = std::make_shared<backend_server>();
     auto& server = *known;
     bool const changed =
         is_new || server.removed || server.lapsed_until || server.registration.draining != registration.draining;
     server.registration = registration;
     server.distance = m_locality.proximity_to(registration.domain);
+    server.affinity = mix(std::hash<std::string>()(registration.id.value()) ^ m_seed);
     server.placement.domain = registration.domain;
     server.placement.region = m_locality.region_of(registration.domain);
     server.placement.id = registration.id.value();
@@ -142,6 +162,11 @@
     } else if (!server.draining_since) {
         server.draining_since = now;
     }
+    if (is_new) {
+        auto& services_group = group(registration.service);
+        services_group.backends.push_back(known);
+        rank_by_preference(services_group);
+    }
     return changed;
 }
 
--- a/src/routing/replica_choice.cpp
+++ b/src/routing/replica_choice.cpp
@@ -43,7 +43,8 @@
     double wait =
         options.by_expected_wait ? server.load.latency_ms(usual, now) * (1.0 + server.load.in_flight() / slots) : usual;
     if (now < server.placement.cold_until) wait *= options.cold_factor;
-    wait *= 1.0 + options.failure_weight * server.load.failure_rate();
+    double const shared = options.shared_failures ? server.shared_failure_rate : 0;
+    wait *= 1.0 + options.failure_weight * std::max(server.load.failure_rate(), shared);
     if (server.distance == proximity::other_region) return wait + options.other_region_penalty_ms;
     if (server.distance == proximity::same_region) return wait + options.other_domain_penalty_ms;
     return wait;
@@ -124,7 +125,8 @@
         }
         any = true;
         if (server->load.in_flight() >= room) continue;
-        candidate const made{server, expected_wait_ms(*server, group.average_latency_ms, context.options, now)};
+        candidate made{server, expected_wait_ms(*server, group.average_latency_ms, context.options, now)};
+        if (server->preference_rank >= context.preferred) made.wait_ms += context.options.other_replica_penalty_ms;
         bool const avoided = context.options.avoid_suspect && server->load.suspect(now);
         (use == usability::last_resort ? leaving : avoided ? suspect : good).push_back(made);
     }
--- a/tests/test_customers.cpp
+++ b/tests/test_customers.cpp
@@ -371,16 +371,16 @@
         vms.insert("gateways/" + std::to_string(i));
     std::map<std::string, int> kept;
     for (int i = 0; i < 1000; ++i)
-        ++kept[account_keepers(customer_name("c" + std::to_string(i)), vms, 2)[0]];
+        ++kept[rendezvous_order("c" + std::to_string(i), vms, 2)[0]];
     CHECK(kept.size() == 18);
     for (auto const& [vm, count] : kept)
         CHECK(count < 120);
     auto fewer = vms;
     fewer.erase("gateways/3");
     for (int i = 0; i < 200; ++i) {
-        customer_name const name("c" + std::to_string(i));
-        auto const before = account_keepers(name, vms, 2);
-        auto const after = account_keepers(name, fewer, 2);
+        auto const name = "c" + std::to_string(i);
+        auto const before = rendezvous_order(name, vms, 2);
+        auto const after = rendezvous_order(name, fewer, 2);
         CHECK(after[0] == (before[0] == "gateways/3" ? before[1] : before[0]));
     }
 }
--- a/tests/test_preconnect.cpp
+++ b/tests/test_preconnect.cpp
@@ -17,7 +17,7 @@
         };
         std::vector<std::string> ids;
         for (auto const& server :
-             backends_to_preconnect(*configs.current(), registry, placement, is_connected, random, now))
+             backends_to_preconnect(*configs.current(), registry, placement, max_replicas, is_connected, random, now))
             ids.push_back(server->registration.id.value());
         return ids;
     }
@@ -27,7 +27,8 @@
         auto const ids = servers_to_connect();
         return std::find(ids.begin(), ids.end(), id) != ids.end();
     }
-    std::mt19937_64 random{1}; ///< Random source for the order.
+    std::size_t max_replicas = 4; ///< Most servers of a shard to connect to.
+    std::mt19937_64 random{1};    ///< Random source for the order.
 };
 
 } // namespace
@@ -85,3 +86,14 @@
         CHECK_FALSE(would_connect("g0a"));
     }
 }
+
+TEST_CASE_FIXTURE(preconnect_fixture, "pre-connect: connections grow with the shards and not with their replicas")
+{
+    for (int i = 0; i < 19; ++i)
+        add_backend("g1", "near-" + std::to_string(i));
+    CHECK(servers_to_connect().size() == 3 + 4 + 2 + 2);
+    max_replicas = 2;
+    auto const ids = servers_to_connect();
+    CHECK(ids.size() == 8);
+    CHECK_MESSAGE(std::find(ids.begin(), ids.end(), "g0c") == ids.end(), "the far replica is the last one");
+}
