--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -113,7 +113,7 @@
 }
 
 void gateway_fleet::configure(int version, std::vector<std::string> const& shards,
-                              std::vector<std::string> const& home_region_set)
+                              std::vector<std::string> const& home_region_set, json const& customers)
 {
     auto const route = [&home_region_set](char const* prefix, char const* kind) {
         return json{{"name", prefix},     {"hostname", "h.example"}, {"prefix", prefix},
@@ -133,14 +133,15 @@
         services.push_back(
             {{"name", name}, {"health_path", "/health"}, {"max_conns", 40}, {"protocol", "h1"}, {"tls", false}});
     }
-    json const config{{"version", version},
-                      {"routes", {gather, read, write}},
-                      {"services", services},
-                      {"limits",
-                       {{"max_header_bytes", 4096},
-                        {"max_body_bytes", 10000},
-                        {"header_timeout_ms", 700},
-                        {"idle_timeout_ms", 3000}}}};
+    json config{{"version", version},
+                {"routes", {gather, read, write}},
+                {"services", services},
+                {"limits",
+                 {{"max_header_bytes", 4096},
+                  {"max_body_bytes", 10000},
+                  {"header_timeout_ms", 700},
+                  {"idle_timeout_ms", 3000}}}};
+    if (!customers.empty()) config["tenants"] = customers;
     call_store("put", {{"key", "op/config"}, {"value", config}});
 }
 
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -47,10 +47,11 @@
     /** @return the response to a GET of @p path at @p to; its status is 0 when there was none. */
     static http_response get(endpoint const& to, std::string const& path);
     /** Writes configuration @p version into the store: the gather is over @p shards, all routes have
-     * @p home_region_set.
+     * @p home_region_set. @param customers customers in the platform's format; empty: none.
      */
     void configure(int version, std::vector<std::string> const& shards = {"g0", "g1", "g2", "g3"},
-                   std::vector<std::string> const& home_region_set = {});
+                   std::vector<std::string> const& home_region_set = {},
+                   nlohmann::json const& customers = nlohmann::json::array());
     /** Calls the test API of the store process. @return its response. */
     nlohmann::json call_store(std::string const& path, nlohmann::json const& body = nlohmann::json::object());
     /** Sets the behavior of backend servers, e.g. a fault mode or the time per request. */
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -103,7 +103,9 @@
                            {"line", entry.line},
                            {"body", entry.body},
                            {"ran", entry.ran},
-                           {"at_ms", entry.at_ms}});
+                           {"at_ms", entry.at_ms},
+                           {"customer", entry.customer},
+                           {"authorization", entry.authorization}});
         }
         return all;
     }
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -85,7 +85,7 @@
     bool const misdirected = request.header("target-instance") != m_id;
     bool const runs = !misdirected && mode != "shed" && mode != "early";
     m_journal.push_back({request.header("request-id"), m_id, m_service, request.method + " " + request.path,
-                         request.body, runs, now_ms});
+                         request.body, runs, now_ms, request.header("tenant"), request.header("authorization")});
     auto& stream = *m_connections.at(number).stream;
     if (misdirected || !runs) {
         http_response refusal;
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -20,13 +20,15 @@
 
 /** A request that a backend server received. */
 struct journal_entry {
-    std::string request_id; ///< Id of the request, set by the caller.
-    std::string backend;    ///< Id of the backend server.
-    std::string service;    ///< Service of the backend server.
-    std::string line;       ///< Method and path.
-    std::string body;       ///< Body.
-    bool ran = false;       ///< Whether it ran.
-    std::int64_t at_ms = 0; ///< Time of receipt, steady clock, in milliseconds.
+    std::string request_id;    ///< Id of the request, set by the caller.
+    std::string backend;       ///< Id of the backend server.
+    std::string service;       ///< Service of the backend server.
+    std::string line;          ///< Method and path.
+    std::string body;          ///< Body.
+    bool ran = false;          ///< Whether it ran.
+    std::int64_t at_ms = 0;    ///< Time of receipt, steady clock, in milliseconds.
+    std::string customer;      ///< Value of the header that names the customer.
+    std::string authorization; ///< Value of the Authorization header.
 };
 
 /** One backend server. Serves one request at a time on each connection. */
--- /dev/null
+++ b/tests/test_gateway_customers.cpp
@@ -0,0 +1,123 @@
+/** @file test_gateway_customers.cpp API keys and quotas, with gateways, a store and backend servers as processes. */
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+/** @return a customer in the platform's format. */
+json customer_json(char const* name, std::vector<std::string> const& keys, double rate = 0, double burst = 0)
+{
+    return {{"name", name}, {"api_keys", keys}, {"priority", 0}, {"rate_per_s", rate}, {"burst", burst}};
+}
+
+/** Sends a GET of @p path with header lines @p headers to gateway @p gateway. @return the status; 0 for no response. */
+int send_with(int gateway, std::string const& path, std::string const& id, std::string const& headers)
+{
+    raw_connection connection(gateway_fleet::address(gateway, "frontend"));
+    connection.send("GET " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id + "\r\nDeadline: 1500\r\n" +
+                    headers + "\r\n");
+    auto const response = connection.receive();
+    return response ? response->status : 0;
+}
+
+/** @return the contents of a log. */
+std::string read_log(gateway_fleet const& fleet, std::string const& process)
+{
+    std::ifstream in(fleet.processes.path(process + ".log"));
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("only requests with a configured key run, and backend servers and logs never see the key")
+{
+    gateway_fleet fleet;
+    std::vector<std::string> const shards{"g0", "g1", "g2", "g3"};
+    fleet.configure(2, shards, {},
+                    {customer_json("acme", {"key-one", "key-two"}), customer_json("other", {"key-three"})});
+    fleet.start_gateway(1);
+    fleet.start_gateway(2, "d2");
+    auto const rejected_at_both = [](std::string const& id, std::string const& headers) {
+        return send_with(1, "/r/x", id, headers) == 401 && send_with(2, "/q/x", id, headers) == 401;
+    };
+    CHECK(rejected_at_both("no-key", ""));
+    CHECK(rejected_at_both("unknown", "Authorization: Bearer key-four\r\n"));
+    CHECK(rejected_at_both("twice", "Authorization: Bearer key-one\r\nAuthorization: Bearer key-three\r\n"));
+    CHECK(send_with(1, "/q/x", "good-1", "authorization: bearer key-two\r\nTENANT: other\r\ntenant: x\r\n") == 200);
+    CHECK(send_with(2, "/r/x", "good-2", "Authorization: Bearer key-three\r\n") == 200);
+    int seen = 0;
+    for (auto const& entry : fleet.journal()) {
+        CHECK(entry["id"].get<std::string>().starts_with("good-"));
+        CHECK(entry["customer"] == (entry["id"] == "good-1" ? "acme" : "other"));
+        CHECK(entry["authorization"] == "");
+        ++seen;
+    }
+    CHECK(seen >= 5);
+    // The key is taken away: within the bound both gateways reject it.
+    fleet.configure(3, shards, {}, {customer_json("acme", {"key-one"}), customer_json("other", {"key-three"})});
+    int number = 0;
+    CHECK(within_ten_seconds(
+        [&] { return rejected_at_both("revoked-" + std::to_string(++number), "Authorization: Bearer key-two\r\n"); }));
+    CHECK(send_with(1, "/r/x", "good-3", "Authorization: Bearer key-one\r\n") == 200);
+    for (char const* gateway : {"gw-1", "gw-2"}) {
+        auto const log = read_log(fleet, gateway);
+        for (char const* key : {"key-one", "key-two", "key-three", "key-four"})
+            CHECK_MESSAGE(log.find(key) == std::string::npos, key);
+        CHECK(log.find("unknown_key") != std::string::npos);
+    }
+}
+
+TEST_CASE("three gateways together keep a customer within its quota, also when one of them is killed")
+{
+    gateway_fleet fleet;
+    constexpr int rate = 10;
+    constexpr int burst = 5;
+    fleet.configure(2, {"g0", "g1", "g2", "g3"}, {}, json::array({customer_json("acme", {"key-one"}, rate, burst)}));
+    for (int number = 1; number <= 3; ++number)
+        fleet.start_gateway(number);
+    std::this_thread::sleep_for(6s); // A whole window in which the gateways know each other.
+    auto const start = clock::now();
+    int served = 0;
+    int rejected = 0;
+    int number = 0;
+    bool killed = false;
+    while (clock::now() < start + 7s) {
+        if (!killed && clock::now() > start + 2s) {
+            fleet.processes.stop("gw-3", SIGKILL);
+            killed = true;
+        }
+        auto const gateway = 1 + number % (killed ? 2 : 3);
+        auto const status =
+            send_with(gateway, "/r/x", "r-" + std::to_string(++number), "Authorization: Bearer key-one\r\n");
+        served += status == 200 ? 1 : 0;
+        rejected += status == 429 ? 1 : 0;
+        std::this_thread::sleep_for(12ms);
+    }
+    CHECK(number > 5 * rate * 5);
+    CHECK(rejected > 0);
+    CHECK_MESSAGE(served + rejected == number, "a request beyond the quota is rejected at once, with 429");
+    std::vector<std::int64_t> times;
+    for (auto const& entry : fleet.journal())
+        if (entry["ran"].get<bool>()) times.push_back(entry["at_ms"].get<std::int64_t>());
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[first] + 5000 <= times[last])
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    CHECK(static_cast<double>(most) <= (rate * 5 + burst) * 1.1 + 20);
+    CHECK_MESSAGE(served >= rate * 7 * 7 / 10, "most of the quota can be used");
+}
