--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -33,11 +33,6 @@
 /** A request counts as a caller's retry if more than this share of the caller's time is spent. */
 constexpr double retried_share = 0.03;
 
-/** Header that carries an API key. */
-constexpr std::string_view authorization_header = "authorization";
-/** Minimum Retry-After of a request beyond its customer's quota, in seconds. */
-constexpr double min_quota_retry_after_s = 0.05;
-
 } // namespace
 
 std::optional<milliseconds> parse_ms(std::string const& text)
@@ -124,67 +119,6 @@
     finish_if_decided(request, now);
 }
 
-/** Several Authorization headers identify nobody: backend servers and gateways could read different ones. */
-char const* dispatcher::impl::authenticate(request_state& request) const
-{
-    auto const& customers = request.config->customers();
-    if (!customers.keys_required()) return nullptr;
-    auto const& headers = request.message.headers;
-    auto const is_authorization = [](http_header const& each) { return each.name == authorization_header; };
-    auto const count = std::count_if(headers.begin(), headers.end(), is_authorization);
-    auto const value = count == 1 ? request.message.header(std::string(authorization_header)) : std::string();
-    request.by = customers.find_key(bearer_key(value));
-    if (request.by != nullptr) request.summary.customer = request.by->name;
-    if (request.by != nullptr || !request.matched_route->needs_key) return nullptr;
-    return count == 0 ? "no_key" : "unknown_key";
-}
-
-bool dispatcher::impl::within_quota(request_state& request, request_timing timing, time_point now)
-{
-    if (request.by == nullptr) return true;
-    auto const decision = quotas.take(*request.by, now);
-    request.summary.quota_isolated = decision.isolated;
-    if (decision.outcome == quota_decision::kind::admitted) return true;
-    if (decision.outcome == quota_decision::kind::waiting) {
-        awaiting_quota.emplace(request.key.value(),
-                               quota_waiter{std::move(request.message), timing, std::move(request.summary), now});
-        return false;
-    }
-    request.summary.quota = request.by->quota;
-    auto response = local_response(429, "the customer's quota is used up");
-    auto const left_s = std::chrono::duration<double>(decision.retry_after).count();
-    response.headers.push_back({"retry-after", retry_after(std::max(left_s, min_quota_retry_after_s))});
-    respond_immediately(request.key, request.summary, std::move(response), "over_quota");
-    return false;
-}
-
-void dispatcher::impl::on_quota_decided(customer_name const& name, time_point now)
-{
-    std::vector<std::pair<request_key, quota_waiter>> waiters;
-    for (auto each = awaiting_quota.begin(); each != awaiting_quota.end();) {
-        if (each->second.summary.customer != name) {
-            ++each;
-            continue;
-        }
-        waiters.emplace_back(request_key(each->first), std::move(each->second));
-        each = awaiting_quota.erase(each);
-    }
-    for (auto& [key, waiter] : waiters) {
-        auto const waited = now - waiter.since;
-        waiter.timing.max_unread += waited;
-        waiter.timing.round_trip += waited;
-        waiter.timing.quota_wait += waited;
-        start(key, std::move(waiter.message), waiter.timing, std::move(waiter.summary.caller), now);
-    }
-}
-
-void dispatcher::impl::reject_within_quota(request_state const& request, http_response response, char const* reason,
-                                           time_point now)
-{
-    if (request.by != nullptr) quotas.give_back(request.by->name, now);
-    respond_immediately(request.key, request.summary, std::move(response), reason);
-}
-
 /** The state without a configuration is expected to last as long again as it has lasted so far. After a power cut the
  *  store may be unreachable for seconds, and callers have only one retry left. */
 double dispatcher::impl::no_config_retry_after_s(time_point now)
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -8,6 +8,9 @@
 /** Time that the final response needs to reach the caller before its deadline. */
 inline constexpr milliseconds deadline_margin{25};
 
+/** Header that carries an API key. */
+inline constexpr std::string_view authorization_header = "authorization";
+
 /** @return the milliseconds that @p text gives as a decimal number, or nothing if it is none. @param text text. */
 std::optional<milliseconds> parse_ms(std::string const& text);
 /** @return a response made by this gateway. @param status HTTP status. @param text one line of text for its body. */
--- a/src/emulator/emulator.cpp
+++ b/src/emulator/emulator.cpp
@@ -99,8 +99,8 @@
 
 model::model(emulated_deployment const& deployment) : m_deployment(deployment), m_random(deployment.seed)
 {
-    m_deployment.options.names = {"request-id", "deadline", "target", "signature",
-                                  "not-run",    "warmup",   "parts",  "customer", "missing"};
+    m_deployment.options.names = {"request-id", "deadline", "target",   "signature", "not-run",
+                                  "warmup",     "parts",    "customer", "missing"};
     auto const count = m_deployment.shards * m_deployment.replicas;
     for (int i = 0; i < count; ++i) {
         m_servers.push_back(std::make_unique<modelled_server>(m_events, m_deployment, m_random));
