Gateway: members that a restored store lost stay known until their removal is due

Cause: since a starting gateway reads the members first, each full read dropped the members that are not in the local copy, also those whose removal is held back after the store was restored from an older copy. Address responses left them out for some hundred milliseconds. Change: only the first full read drops members that are in neither. The test's key follows the layout gateways/DOMAIN/NAME.

--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -129,8 +129,10 @@
     auto differences = mirror.replace(items, as_of);
     bool const restored = known != store_position() && known.era != as_of.era;
     if (restored) differences = on_store_restored(std::move(differences), known, as_of);
-    // Gateways that left between the read of the members and this one are in neither.
-    std::erase_if(members, [this](auto const& each) { return !mirror.items().contains(each.first); });
+    // Gateways that left between the read of the members and the first full read are in neither. Later, the removals in
+    // the differences tell who left, and those after a restoration of the store are held back.
+    bool const first_read = known == store_position();
+    if (first_read) std::erase_if(members, [this](auto const& each) { return !mirror.items().contains(each.first); });
     members_changed = true;
     apply_changes(differences, as_of);
 }
--- a/tests/test_restored_store.cpp
+++ b/tests/test_restored_store.cpp
@@ -115,7 +115,7 @@
         CHECK(is_resolved());
         std::this_thread::sleep_for(50ms);
     }
-    CHECK(fleet.call_store("keys").contains("gateways/gw-2"));
+    CHECK(fleet.call_store("keys").contains("gateways/d1/gw-2"));
 }
 
 TEST_CASE("records of crashing requests that a restored store lost are written again")
