review: run.sh ends its processes and its folder also when it is stopped

run.sh makes the temporary folder and stops the program of the case when it is ended itself; the gateways end with that program.

--- a/review/stand_in/fleet.cpp
+++ b/review/stand_in/fleet.cpp
@@ -91,9 +91,9 @@
 
 fleet::fleet(address const& store, int count)
 {
-    char pattern[] = "/tmp/cornel-review.XXXXXX";
-    if (mkdtemp(pattern) == nullptr) throw std::runtime_error("no temporary folder");
-    m_folder = pattern;
+    char const* folder = std::getenv("REVIEW_FOLDER");
+    if (folder == nullptr) throw std::runtime_error("REVIEW_FOLDER names no temporary folder");
+    m_folder = folder;
     std::random_device random;
     auto const part = [&random] { return std::to_string(10 + random() % 200); };
     auto const prefix = "127." + part() + "." + part() + ".";
@@ -121,11 +121,6 @@
         waitpid(each.pid, nullptr, 0);
         each.pid = -1;
     }
-    for (auto const& each : m_gateways) {
-        unlink(each.boot.c_str());
-        unlink((each.boot + ".log").c_str());
-    }
-    rmdir(m_folder.c_str());
 }
 
 void fleet::start(gateway_process& of)
--- a/review/stand_in/fleet.hpp
+++ b/review/stand_in/fleet.hpp
@@ -21,7 +21,8 @@
     pid_t pid = -1;    ///< Process; -1: not running.
 };
 
-/** Gateways on loopback addresses of their own, with the settings of a small deployment. */
+/** Gateways on loopback addresses of their own, with the settings of a small deployment. The variable REVIEW_FOLDER
+ *  names a temporary folder. */
 class fleet {
 public:
     /** @param store address of the store. @param count number of gateways. */
@@ -35,7 +36,7 @@
     static void signal(gateway_process const& of, int number);
     /** Waits until the process of @p of has ended. @return whether it did until @p until. */
     static bool wait_end(gateway_process& of, steady::time_point until);
-    /** Ends all processes and removes their files. */
+    /** Ends all processes. */
     void stop();
     /** @return whether all gateways are ready before @p until. */
     bool wait_ready(steady::time_point until) const;
@@ -45,7 +46,7 @@
     std::string const& stand_in_host() const { return m_stand_in_host; }
 
 private:
-    std::string m_folder;                    ///< Temporary folder.
+    std::string m_folder;                    ///< Temporary folder, for settings files and logs.
     std::string m_stand_in_host;             ///< For stand-ins.
     std::vector<gateway_process> m_gateways; ///< Gateways.
 };
