--- a/review/stand_in/http.cpp
+++ b/review/stand_in/http.cpp
@@ -195,6 +195,7 @@
     std::thread([this] {
         while (true) {
             int const fd = accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0 && m_stopped) return;
             if (fd < 0) continue;
             int const yes = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -206,6 +207,12 @@
     }).detach();
 }
 
+void server::stop()
+{
+    m_stopped = true;
+    shutdown(m_fd, SHUT_RDWR); // Wakes the thread that accepts.
+}
+
 std::uint16_t free_port(std::string const& host)
 {
     int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/stand_in/http.hpp
+++ b/review/stand_in/http.hpp
@@ -1,6 +1,7 @@
 /** @file http.hpp Small blocking HTTP/1.1 client and server on loopback, for the stand-ins of the review. */
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -85,8 +86,11 @@
     server(std::string const& host, std::uint16_t port, std::function<void(connection&)> serve);
     /** @return where it listens. */
     address const& where() const { return m_where; }
+    /** Stops listening: later connections are refused. */
+    void stop();
 
 private:
+    std::atomic<bool> m_stopped{false};       ///< stop() was called.
     int m_fd = -1;                            ///< Listening socket.
     address m_where;                          ///< Where it listens.
     std::function<void(connection&)> m_serve; ///< Serves one connection.
