Gateway: failed attempts in the request log name their connection

The log showed that attempts were rejected and retried, but not whether a rejection came on the connection of an earlier attempt of the same request, which is what tells a repeated response from a second rejection.

Each connection to a backend server has an id in this process; an attempt's result carries it, and "failures" of the request line shows it.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -128,6 +128,8 @@
 
 /** Id of an attempt, unique within this process. */
 using attempt_id = strong_id<struct attempt_id_tag, std::uint64_t>;
+/** Id of a connection to a backend server, unique within this process; 0: none. */
+using connection_id = strong_id<struct connection_id_tag, std::uint64_t>;
 
 /** An attempt to send to a backend server. */
 struct outgoing_attempt {
@@ -146,6 +148,7 @@
     attempt_status outcome = attempt_status::lost; ///< Outcome.
     http_response response;                        ///< The response, if the outcome is answered or not_executed.
     std::string detail;                            ///< Cause of a failure, for logs.
+    connection_id connection;                      ///< Connection that it was sent on.
 };
 
 /** Time that a request spends outside the dispatcher: waiting to be read, and on the network. */
@@ -179,7 +182,7 @@
     caller_address caller;                 ///< Address of the caller.
     bool sequential = false;               ///< Its attempts were sent one at a time.
     std::string request_line;              ///< Method, host and path, truncated; set with the digest.
-    std::string failure_details;           ///< Backend server and cause of the first failed attempts.
+    std::string failure_details;           ///< Backend server, cause and connection of the first failed attempts.
     std::string extra_attempts;           ///< Targets of the first hedges and retries, with the inputs of their choice.
     int hedges_denied = 0;                ///< Number of hedges that were due and not sent.
     char const* hedge_denied_reason = ""; ///< Reason why the last of these was not sent.
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -239,8 +239,9 @@
         std::erase(request.shards[attempt.shard].in_flight, id);
         if (attempt.sequential && !may_have_run(result.outcome)) --request.sequential_runs;
         if (result.outcome != attempt_status::answered && ++request.summary.failed_attempts <= max_described_failures) {
-            request.summary.failure_details +=
-                attempt.target->registration.id.value() + ":" + to_string(result.outcome) + ":" + result.detail + " ";
+            request.summary.failure_details += attempt.target->registration.id.value() + ":" +
+                                               to_string(result.outcome) + ":" + result.detail +
+                                               ":connection=" + std::to_string(result.connection.value()) + " ";
         }
         if (result.outcome == attempt_status::answered) {
             bool const held = is_usable(request, result.response) && on_usable_response(request, now);
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -18,56 +18,72 @@
 
 /** State of the pool. */
 struct backend_pool::impl {
+    /** A connection and its id. */
+    struct pooled_connection {
+        connection_id id;                          ///< Id.
+        std::unique_ptr<client_connection> client; ///< Connection; null: none.
+    };
     /** An attempt in flight and its connection. */
     struct active_attempt {
-        std::unique_ptr<client_connection> connection; ///< Connection.
-        std::shared_ptr<backend_server> server;        ///< Backend server.
-        timer_id connect_timer;                        ///< Cancels the attempt when connecting times out.
+        pooled_connection connection;           ///< Connection.
+        std::shared_ptr<backend_server> server; ///< Backend server.
+        timer_id connect_timer;                 ///< Cancels the attempt when connecting times out.
     };
     event_loop& loop;                                          ///< Event loop.
     pool_options options;                                      ///< Settings.
     std::function<void(attempt_id, attempt_result)> on_result; ///< Receives the outcomes of attempts.
     std::unordered_map<std::uint64_t, active_attempt> in_use;  ///< Attempts in flight, by id.
     /** Idle connections; a backend server that restarts is another object, without connections. */
-    std::unordered_map<std::shared_ptr<backend_server>, std::vector<std::unique_ptr<client_connection>>> idle;
+    std::unordered_map<std::shared_ptr<backend_server>, std::vector<pooled_connection>> idle;
     /** A pre-connect in progress. */
     struct pending_connection {
-        std::unique_ptr<client_connection> connection; ///< Connection.
-        time_point connect_deadline;                   ///< The pre-connect times out then.
+        pooled_connection connection; ///< Connection.
+        time_point connect_deadline;  ///< The pre-connect times out then.
     };
     std::unordered_map<std::shared_ptr<backend_server>, pending_connection> preconnecting; ///< By backend server.
     std::unordered_map<std::shared_ptr<backend_server>, time_point> unreachable; ///< No pre-connect until then.
-    std::uint64_t opened = 0;                                                    ///< Connections opened so far.
-    timer_id sweep_timer;                                                        ///< Next sweep.
+    std::uint64_t opened = 0; ///< Connections opened so far, and the id of the last one.
+    timer_id sweep_timer;     ///< Next sweep.
 
-    std::unique_ptr<client_connection> take_idle(outgoing_attempt const& attempt);
+    /** Opens a connection to @p server. */
+    pooled_connection open(backend_server const& server);
+    /** @return an idle connection for @p attempt; none if there is no suitable one. */
+    pooled_connection take_idle(outgoing_attempt const& attempt);
     /** @return the request with the time left at @p now in its deadline header; empty when none is left. */
     std::string write_request(outgoing_attempt const& attempt, time_point now) const;
     void send(outgoing_attempt attempt);
     void on_connect_timeout(attempt_id id);
     void on_exchange_done(attempt_id id, exchange_result result);
     attempt_result classify(exchange_result result) const;
-    void add_idle(std::shared_ptr<backend_server> const& server, std::unique_ptr<client_connection> connection);
+    void add_idle(std::shared_ptr<backend_server> const& server, pooled_connection connection);
     void preconnect(std::shared_ptr<backend_server> const& server);
     void on_preconnected(std::shared_ptr<backend_server> const& server, bool established);
     void sweep();
 };
 
-std::unique_ptr<client_connection> backend_pool::impl::take_idle(outgoing_attempt const& attempt)
+backend_pool::impl::pooled_connection backend_pool::impl::open(backend_server const& server)
+{
+    connection_id const id(++opened);
+    return {id, std::make_unique<client_connection>(loop, server.registration.address, stream_options{},
+                                                    options.response_limits)};
+}
+
+backend_pool::impl::pooled_connection backend_pool::impl::take_idle(outgoing_attempt const& attempt)
 {
     auto const found = idle.find(attempt.target);
-    if (found == idle.end()) return nullptr;
+    if (found == idle.end()) return {};
     auto& available = found->second;
     auto const now = loop.now();
     while (!available.empty()) {
-        auto connection = std::move(available.back()); // The one used most recently is the least likely to be dead.
+        auto taken = std::move(available.back()); // The one used most recently is the least likely to be dead.
         available.pop_back();
-        if (!connection->reusable() || connection->keep_alive_deadline() < now + idle_close_margin) continue;
-        if (!attempt.idempotent && connection->idle_since() + options.max_idle_non_idempotent < now) continue;
-        connection->on_idle_closed(nullptr);
-        return connection;
+        auto& client = *taken.client;
+        if (!client.reusable() || client.keep_alive_deadline() < now + idle_close_margin) continue;
+        if (!attempt.idempotent && client.idle_since() + options.max_idle_non_idempotent < now) continue;
+        client.on_idle_closed(nullptr);
+        return taken;
     }
-    return nullptr;
+    return {};
 }
 
 /**
@@ -87,11 +103,8 @@
     auto const id = attempt.id;
     entry.server = attempt.target;
     entry.connection = take_idle(attempt);
-    bool const fresh = entry.connection == nullptr;
-    if (fresh) {
-        ++opened;
-        entry.connection = std::make_unique<client_connection>(loop, attempt.target->registration.address,
-                                                               stream_options{}, options.response_limits);
+    if (!entry.connection.client) {
+        entry.connection = open(*attempt.target);
         entry.connect_timer = loop.run_at(loop.now() + options.connect_timeout, [this, id] { on_connect_timeout(id); });
     }
     client_connection::exchange exchange;
@@ -106,15 +119,16 @@
         return write_request(attempt, now);
     };
     auto& stored = in_use.emplace(id.value(), std::move(entry)).first->second;
-    stored.connection->start(std::move(exchange));
+    stored.connection.client->start(std::move(exchange));
 }
 
 void backend_pool::impl::on_connect_timeout(attempt_id id)
 {
     auto const found = in_use.find(id.value());
-    if (found == in_use.end() || found->second.connection->established()) return;
+    if (found == in_use.end() || found->second.connection.client->established()) return;
+    auto const connection = found->second.connection.id;
     in_use.erase(found);
-    on_result(id, {attempt_status::not_sent, {}, "connect timed out"});
+    on_result(id, {attempt_status::not_sent, {}, "connect timed out", connection});
 }
 
 void backend_pool::impl::on_exchange_done(attempt_id id, exchange_result result)
@@ -124,10 +138,11 @@
     auto entry = std::move(found->second);
     in_use.erase(found);
     loop.cancel(entry.connect_timer);
-    if (result.completed && entry.connection->reusable()) {
-        add_idle(entry.server, std::move(entry.connection));
-    }
-    on_result(id, classify(std::move(result)));
+    bool const kept = result.completed && entry.connection.client->reusable();
+    auto outcome = classify(std::move(result));
+    outcome.connection = entry.connection.id;
+    if (kept) add_idle(entry.server, std::move(entry.connection));
+    on_result(id, std::move(outcome));
 }
 
 attempt_result backend_pool::impl::classify(exchange_result result) const
@@ -145,16 +160,14 @@
     return {attempt_status::answered, std::move(response), ""};
 }
 
-void backend_pool::impl::add_idle(std::shared_ptr<backend_server> const& server,
-                                  std::unique_ptr<client_connection> connection)
+void backend_pool::impl::add_idle(std::shared_ptr<backend_server> const& server, pooled_connection connection)
 {
-    auto* raw = connection.get();
-    connection->on_idle_closed([this, server, raw] {
+    connection.client->on_idle_closed([this, server, id = connection.id] {
         // Deferred: this runs inside a callback of the connection that is to be destroyed.
-        loop.run_at(loop.now(), [this, server, raw] {
+        loop.run_at(loop.now(), [this, server, id] {
             auto const found = idle.find(server);
             if (found == idle.end()) return;
-            std::erase_if(found->second, [raw](auto const& each) { return each.get() == raw && !each->reusable(); });
+            std::erase_if(found->second, [id](auto const& each) { return each.id == id && !each.client->reusable(); });
         });
     });
     idle[server].push_back(std::move(connection));
@@ -163,10 +176,8 @@
 void backend_pool::impl::preconnect(std::shared_ptr<backend_server> const& server)
 {
     if (preconnecting.contains(server)) return;
-    ++opened;
-    auto connection = std::make_unique<client_connection>(loop, server->registration.address, stream_options{},
-                                                          options.response_limits);
-    connection->on_connected([this, server](bool established) {
+    auto connection = open(*server);
+    connection.client->on_connected([this, server](bool established) {
         // Deferred: this runs inside a callback of the connection, which may be destroyed.
         loop.run_at(loop.now(), [this, server, established] { on_preconnected(server, established); });
     });
@@ -179,7 +190,7 @@
     if (found == preconnecting.end()) return;
     auto connection = std::move(found->second.connection);
     preconnecting.erase(found);
-    if (established && connection->reusable()) {
+    if (established && connection.client->reusable()) {
         add_idle(server, std::move(connection));
     } else {
         unreachable[server] = loop.now() + preconnect_retry_interval;
@@ -197,8 +208,9 @@
     });
     for (auto entry = idle.begin(); entry != idle.end();) {
         std::erase_if(entry->second, [&](auto const& connection) {
-            return !connection->reusable() || connection->keep_alive_deadline() < now + idle_close_margin ||
-                   connection->idle_since() + options.idle_timeout < now;
+            auto const& client = *connection.client;
+            return !client.reusable() || client.keep_alive_deadline() < now + idle_close_margin ||
+                   client.idle_since() + options.idle_timeout < now;
         });
         entry = entry->second.empty() ? idle.erase(entry) : std::next(entry);
     }
