Gateway: two attempts of one request never have the same connection

It needs a backend server that sends a rejection again late.

Cause: all attempts of a request have its id. A write that every server has rejected returns to one of them after 15 ms, usually on the connection of the rejected attempt. The late copy of the rejection has the id that is expected there, so it counted as the response to the second attempt, which was running: the write was sent to the other server or answered 503.

Change: the dispatcher passes the connections of the request's earlier attempts with each attempt. The pool takes another idle connection, or closes the used one and opens a new one, so that the server does not get more connections.

Why it works: a server's bytes arrive on the connection of the attempt that they respond to, so without an earlier attempt there, a response with the request's id can only be the present one, however late and often others are repeated.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -141,6 +141,9 @@
     std::string request_id;     ///< The caller's request id, which the response must repeat.
     bool head_request = false;  ///< HEAD request, so the response has no body.
     bool idempotent = true;     ///< Its route is idempotent, so it may use an idle connection that may be closed.
+    /** Connections that have carried an attempt of the same request for the same shard. It is not sent on these: a
+     *  response to the earlier attempt that the backend server repeats late has the request id expected here. */
+    std::vector<connection_id> used_connections;
 };
 
 /** Result of an attempt. */
@@ -148,7 +151,7 @@
     attempt_status outcome = attempt_status::lost; ///< Outcome.
     http_response response;                        ///< The response, if the outcome is answered or not_executed.
     std::string detail;                            ///< Cause of a failure, for logs.
-    connection_id connection;                      ///< Connection that it was sent on.
+    connection_id connection{};                    ///< Connection that it was sent on.
 };
 
 /** Time that a request spends outside the dispatcher: waiting to be read, and on the network. */
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -80,6 +80,7 @@
     attempt.request_id = request.summary.request_id;
     attempt.head_request = request.message.method == "HEAD";
     attempt.idempotent = request.matched_route->kind == route_kind::idempotent;
+    attempt.used_connections = shard.used_connections;
     attempts.emplace(id.value(),
                      open_attempt{request.key, index, shard.group, chosen.target,
                                   &request.latencies->of(chosen.target->distance), now, request.sequential, false});
@@ -236,7 +237,10 @@
     }
     if (auto const owner = requests.find(attempt.request.value()); owner != requests.end() && !attempt.observed) {
         auto& request = *owner->second;
-        std::erase(request.shards[attempt.shard].in_flight, id);
+        auto& shard = request.shards[attempt.shard];
+        std::erase(shard.in_flight, id);
+        bool const usable = result.outcome == attempt_status::answered && is_usable(request, result.response);
+        if (!usable) shard.used_connections.push_back(result.connection);
         if (attempt.sequential && !may_have_run(result.outcome)) --request.sequential_runs;
         if (result.outcome != attempt_status::answered && ++request.summary.failed_attempts <= max_described_failures) {
             request.summary.failure_details += attempt.target->registration.id.value() + ":" +
@@ -244,7 +248,7 @@
                                                ":connection=" + std::to_string(result.connection.value()) + " ";
         }
         if (result.outcome == attempt_status::answered) {
-            bool const held = is_usable(request, result.response) && on_usable_response(request, now);
+            bool const held = usable && on_usable_response(request, now);
             on_response(request, attempt.shard, std::move(result.response), now);
             if (held) send_held_shards(request, now);
         } else if (result.outcome != attempt_status::disconnected || on_backend_disconnected(request, now)) {
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -46,6 +46,8 @@
     bool hedge_postponed = false;          ///< The hedge was postponed once, as it was due late.
     time_point retry_at;                   ///< Time of the retry; max: none.
     std::optional<http_response> response; ///< Usable response, or else the last response received.
+    /** Connections of the attempts that have finished without a usable response. */
+    std::vector<connection_id> used_connections;
 };
 
 /** A request that waits for a token of its customer's quota. */
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -23,6 +23,12 @@
         connection_id id;                          ///< Id.
         std::unique_ptr<client_connection> client; ///< Connection; null: none.
     };
+    /** @return whether @p attempt must not be sent on @p connection. */
+    static bool was_used(outgoing_attempt const& attempt, pooled_connection const& connection)
+    {
+        auto const& used = attempt.used_connections;
+        return std::find(used.begin(), used.end(), connection.id) != used.end();
+    }
     /** An attempt in flight and its connection. */
     struct active_attempt {
         pooled_connection connection;           ///< Connection.
@@ -49,6 +55,9 @@
     pooled_connection open(backend_server const& server);
     /** @return an idle connection for @p attempt; none if there is no suitable one. */
     pooled_connection take_idle(outgoing_attempt const& attempt);
+    /** Closes an idle connection that @p attempt must not be sent on, if there is one, in exchange for a new one: with
+     *  both, the backend server could have more connections than it accepts. */
+    void close_used(outgoing_attempt const& attempt);
     /** @return the request with the time left at @p now in its deadline header; empty when none is left. */
     std::string write_request(outgoing_attempt const& attempt, time_point now) const;
     void send(outgoing_attempt attempt);
@@ -74,9 +83,11 @@
     if (found == idle.end()) return {};
     auto& available = found->second;
     auto const now = loop.now();
-    while (!available.empty()) {
-        auto taken = std::move(available.back()); // The one used most recently is the least likely to be dead.
-        available.pop_back();
+    // The one used most recently is the least likely to be dead.
+    for (auto at = available.size(); at-- > 0;) {
+        if (was_used(attempt, available[at])) continue;
+        auto taken = std::move(available[at]);
+        available.erase(available.begin() + static_cast<std::ptrdiff_t>(at));
         auto& client = *taken.client;
         if (!client.reusable() || client.keep_alive_deadline() < now + idle_close_margin) continue;
         if (!attempt.idempotent && client.idle_since() + options.max_idle_non_idempotent < now) continue;
@@ -86,6 +97,16 @@
     return {};
 }
 
+void backend_pool::impl::close_used(outgoing_attempt const& attempt)
+{
+    auto const found = idle.find(attempt.target);
+    if (found == idle.end()) return;
+    auto& available = found->second;
+    auto const used = std::find_if(available.begin(), available.end(),
+                                   [&](auto const& connection) { return was_used(attempt, connection); });
+    if (used != available.end()) available.erase(used);
+}
+
 /**
  * The deadline header has the time left when the request arrives at the backend server, not when it is serialized. On a
  * full uplink these differ so much that backend servers would process requests whose callers no longer wait.
@@ -104,6 +125,7 @@
     entry.server = attempt.target;
     entry.connection = take_idle(attempt);
     if (!entry.connection.client) {
+        close_used(attempt);
         entry.connection = open(*attempt.target);
         entry.connect_timer = loop.run_at(loop.now() + options.connect_timeout, [this, id] { on_connect_timeout(id); });
     }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -365,8 +365,8 @@
     async def fault_backend(self):
         name = self.random.choice(list(self.entries))
         self.mark_disturbed(name, 4)
-        mode = self.random.choice(["shed", "error", "hang", "reset", "silent_run", "extra", "late_extra", "unframed",
-                                   "truncated", "no_signature", "encoded", "early"])
+        mode = self.random.choice(["shed", "error", "hang", "reset", "silent_run", "extra", "late_extra", "late_rejection",
+                                   "unframed", "truncated", "no_signature", "encoded", "early"])
         await call(self.backends_port, "POST", "/behave", {"backend": name, "mode": mode})
         await asyncio.sleep(self.random.uniform(0.3, 4))
         await call(self.backends_port, "POST", "/behave", {"backend": name, "mode": "ok"})
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -83,19 +83,15 @@
     auto const mode = consume_mode();
     auto const now_ms = std::chrono::duration_cast<milliseconds>(m_loop.now().time_since_epoch()).count();
     bool const misdirected = request.header("target-instance") != m_id;
-    bool const runs = !misdirected && mode != "shed" && mode != "early";
+    bool const runs = !misdirected && mode != "shed" && mode != "late_rejection" && mode != "early";
     std::string headers;
     for (auto const& [name, value] : request.headers)
         headers.append(name).append(": ").append(value).append("\n");
     m_journal.push_back({request.header("request-id"), m_id, m_service, request.method + " " + request.path,
                          request.body, runs, now_ms, request.header("tenant"), request.header("authorization"),
                          std::move(headers)});
-    auto& stream = *m_connections.at(number).stream;
     if (misdirected || !runs) {
-        http_response refusal;
-        refusal.status = misdirected ? 421 : 503;
-        refusal.headers = {{misdirected ? "instance-id" : "not-executed", misdirected ? m_id : "1"}};
-        stream.send(serialize(refusal, false));
+        reject(m_connections.at(number), request, misdirected, mode);
         return;
     }
     if (!m_crash_path.empty() && request.path == m_crash_path) {
@@ -112,6 +108,17 @@
                   [this, number, request, mode] { respond(number, request, mode); });
 }
 
+void shard_server::reject(connection& to, http_request const& request, bool misdirected, std::string const& mode)
+{
+    http_response rejection;
+    rejection.status = misdirected ? 421 : 503;
+    rejection.headers = {{"request-id", request.header("request-id")},
+                         {misdirected ? "instance-id" : "not-executed", misdirected ? m_id : "1"}};
+    auto const bytes = serialize(rejection, false);
+    to.stream->send(std::exchange(to.late_response, {}) + bytes);
+    if (mode == "late_rejection") to.late_response = bytes;
+}
+
 http_response shard_server::make_response(http_request const& request) const
 {
     http_response response;
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -11,7 +11,8 @@
 struct shard_behaviour {
     /** One of: ok, shed (rejects with 503, not run), error (500), hang (no response), reset and silent_run (run, then
      *  close the connection without a response), extra (sends the response twice), late_extra (sends the response again
-     *  before the next response), unframed (no content-length, then closes), truncated (closes before the last bytes),
+     *  before the next response), late_rejection (rejects like shed, and sends the rejection again before the next
+     *  response), unframed (no content-length, then closes), truncated (closes before the last bytes),
      *  no_signature (no server-stamp), encoded (claims gzip), early (rejects with 503 before the body is complete). */
     std::string mode = "ok";
     int work_ms = 5; ///< Simulated run time of a request.
@@ -61,6 +62,8 @@
         std::string late_response;              ///< Bytes to send before the next response.
     };
     void on_bytes(std::uint64_t number, std::string_view bytes);
+    /** Rejects @p request, which does not run. @param misdirected it was meant for another server. */
+    void reject(connection& to, http_request const& request, bool misdirected, std::string const& mode);
     void on_request(std::uint64_t number, http_request request);
     void respond(std::uint64_t number, http_request const& request, std::string const& mode);
     std::string consume_mode();
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -99,6 +99,24 @@
     }
 }
 
+// Guards against a retry on a connection where a late copy of the earlier attempt's response may still arrive.
+TEST_CASE("dispatcher: an attempt names the connections of all earlier attempts of its request")
+{
+    for (char const* path : {"/plain/", "/write/"}) {
+        CAPTURE(path);
+        dispatcher_fixture fleet;
+        fleet.start(path, "id1");
+        for (std::uint64_t connection = 11; connection <= 13; ++connection) {
+            attempt_result rejected{attempt_status::not_executed, {}, "test", connection_id(connection)};
+            fleet.requests->on_result(fleet.sent.back().id, std::move(rejected), fleet.now);
+            fleet.advance(20ms);
+        }
+        REQUIRE(fleet.sent.size() == 4);
+        CHECK(fleet.sent[0].used_connections.empty());
+        CHECK(fleet.sent[3].used_connections == std::vector{connection_id(11), connection_id(12), connection_id(13)});
+    }
+}
+
 TEST_CASE("dispatcher: a success without a signature is not accepted as a response of the backend server")
 {
     dispatcher_fixture fleet;
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -155,6 +155,22 @@
     CHECK(run_count(fleet.journal(), "id-2") == 1);
 }
 
+// Guards against taking a late copy of the rejection of an earlier attempt for the response to the one that runs.
+TEST_CASE("a write runs once when its servers send their rejections again before the response to its next attempt")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    for (int i = 0; i < 10; ++i) {
+        auto const id = "id-" + std::to_string(i);
+        CAPTURE(id);
+        fleet.set_backend_behavior({{"service", "s"}, {"mode", "late_rejection"}, {"times", 1}});
+        auto const write = fleet.send_request(1, "/w/a", id, "POST", "entry");
+        CHECK(write.status == 200);
+        CHECK(write.body == "ran entry");
+        CHECK(run_count(fleet.journal(), id) == 1);
+    }
+}
+
 TEST_CASE("requests that break the protocol or a limit are rejected and do not reach a backend server")
 {
     gateway_fleet fleet;
