Gateway: a response without a request id counts on a fresh connection only

What callers see: a write runs twice. It needs a rejection without a request id that a backend server sends again late.

A response without an id was taken for the response to whatever attempt was in flight on the connection. A late rejection of one write counted for the next write there, which was running: it was sent to the other server.

Change: once a connection has carried an attempt, a response without an id ends the next one as lost, with the cause in "failures", and closes the connection. A write is then never sent again (502), a read is. The first response on a connection can have no predecessor and is accepted without an id as before.

Why it works: no outcome is derived any more from a response that may belong to another attempt.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -23,8 +23,12 @@
 /** One HTTP/1.1 connection to a peer that carries one request at a time. */
 class client_connection {
 public:
-    /** Whether a response belongs to the request of the exchange or, for example, to an earlier one. */
-    enum class match { expected, unexpected };
+    /** Whether a response belongs to the request of an exchange. */
+    enum class match {
+        expected,     ///< It does.
+        unexpected,   ///< It belongs to another request, for example to an earlier one.
+        unidentified, ///< It may belong to this request or to an earlier one.
+    };
     /** A request and the handling of its response. */
     struct exchange {
         /** Serializes the request at the moment when it can be sent, so that the remaining time in it is correct.
@@ -46,6 +50,8 @@
     void start(exchange next);
     /** @return whether the connection is established. */
     bool established() const { return m_established; }
+    /** @return whether an exchange has finished on it. */
+    bool used() const { return m_used; }
     /** @return bytes received so far. */
     std::uint64_t bytes_received() const { return m_bytes_received; }
     /** @return whether the connection is open and can carry another request. */
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -61,6 +61,9 @@
     /** @return the request with the time left at @p now in its deadline header; empty when none is left. */
     std::string write_request(outgoing_attempt const& attempt, time_point now) const;
     void send(outgoing_attempt attempt);
+    /** @return whether @p response belongs to the request @p expected. @param used the connection has carried another
+     *  attempt before, to which a response without a request id may belong. */
+    client_connection::match match(http_response const& response, std::string const& expected, bool used) const;
     void on_connect_timeout(attempt_id id);
     void on_exchange_done(attempt_id id, exchange_result result);
     attempt_result classify(exchange_result result) const;
@@ -131,11 +134,8 @@
     }
     client_connection::exchange exchange;
     exchange.head_request = attempt.head_request;
-    exchange.matches = [this, expected = std::move(attempt.request_id)](http_response const& response) {
-        auto const echoed = response.header(options.names.request_id);
-        return echoed.empty() || echoed == expected ? client_connection::match::expected
-                                                    : client_connection::match::unexpected;
-    };
+    exchange.matches = [this, expected = std::move(attempt.request_id), used = entry.connection.client->used()](
+                           http_response const& response) { return match(response, expected, used); };
     exchange.done = [this, id](exchange_result result) { on_exchange_done(id, std::move(result)); };
     exchange.write_request = [this, attempt = std::move(attempt)](time_point now) {
         return write_request(attempt, now);
@@ -144,6 +144,15 @@
     stored.connection.client->start(std::move(exchange));
 }
 
+client_connection::match backend_pool::impl::match(http_response const& response, std::string const& expected,
+                                                   bool used) const
+{
+    auto const echoed = response.header(options.names.request_id);
+    if (echoed == expected) return client_connection::match::expected;
+    if (!echoed.empty()) return client_connection::match::unexpected;
+    return used ? client_connection::match::unidentified : client_connection::match::expected;
+}
+
 void backend_pool::impl::on_connect_timeout(attempt_id id)
 {
     auto const found = in_use.find(id.value());
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -69,13 +69,18 @@
             finish_exchange({false, true, false, {}, "malformed response"});
             return;
         }
-        if (m_exchange->matches(m_reader.response()) == match::expected) {
+        auto const match = m_exchange->matches(m_reader.response());
+        if (match == match::expected) {
             handle_response(bytes);
             return;
         }
+        m_unusable = true;
+        if (match == match::unidentified) {
+            finish_exchange({false, true, false, {}, "response without a request id"});
+            return;
+        }
         // A late response to an earlier request. The expected one may still follow, but the connection is not used
         // again.
-        m_unusable = true;
         m_reader.restart();
         if (m_exchange->head_request) m_reader.expect_no_body();
     }
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -61,7 +61,7 @@
         if (m_behaviour.mode == "early" && reader.headers_done()) {
             http_response refusal;
             refusal.status = 503;
-            refusal.headers = {{"not-executed", "1"}};
+            refusal.headers = {{"request-id", reader.request().header("request-id")}, {"not-executed", "1"}};
             found->second.stream->send(serialize(refusal, false));
         }
         return;
@@ -83,7 +83,8 @@
     auto const mode = consume_mode();
     auto const now_ms = std::chrono::duration_cast<milliseconds>(m_loop.now().time_since_epoch()).count();
     bool const misdirected = request.header("target-instance") != m_id;
-    bool const runs = !misdirected && mode != "shed" && mode != "late_rejection" && mode != "early";
+    bool const rejects = mode == "shed" || mode == "late_rejection" || mode == "late_unidentified" || mode == "early";
+    bool const runs = !misdirected && !rejects;
     std::string headers;
     for (auto const& [name, value] : request.headers)
         headers.append(name).append(": ").append(value).append("\n");
@@ -114,9 +115,9 @@
     rejection.status = misdirected ? 421 : 503;
     rejection.headers = {{"request-id", request.header("request-id")},
                          {misdirected ? "instance-id" : "not-executed", misdirected ? m_id : "1"}};
-    auto const bytes = serialize(rejection, false);
-    to.stream->send(std::exchange(to.late_response, {}) + bytes);
-    if (mode == "late_rejection") to.late_response = bytes;
+    to.stream->send(std::exchange(to.late_response, {}) + serialize(rejection, false));
+    if (mode == "late_unidentified") rejection.headers.erase(rejection.headers.begin());
+    if (mode == "late_rejection" || mode == "late_unidentified") to.late_response = serialize(rejection, false);
 }
 
 http_response shard_server::make_response(http_request const& request) const
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -12,8 +12,9 @@
     /** One of: ok, shed (rejects with 503, not run), error (500), hang (no response), reset and silent_run (run, then
      *  close the connection without a response), extra (sends the response twice), late_extra (sends the response again
      *  before the next response), late_rejection (rejects like shed, and sends the rejection again before the next
-     *  response), unframed (no content-length, then closes), truncated (closes before the last bytes),
-     *  no_signature (no server-stamp), encoded (claims gzip), early (rejects with 503 before the body is complete). */
+     *  response), late_unidentified (the same, without the request id in the second rejection), unframed (no
+     * content-length, then closes), truncated (closes before the last bytes), no_signature (no server-stamp), encoded
+     * (claims gzip), early (rejects with 503 before the body is complete). */
     std::string mode = "ok";
     int work_ms = 5; ///< Simulated run time of a request.
     int times = -1;  ///< Number of requests to which it applies; -1 for all.
--- a/tests/test_gateway_process.cpp
+++ b/tests/test_gateway_process.cpp
@@ -171,6 +171,26 @@
     }
 }
 
+// Guards against taking a late response to an earlier request for the response to the present one.
+TEST_CASE("a write runs once when a late rejection without a request id arrives before its response")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    int met_rejection = 0;
+    for (int i = 0; i < 10; ++i) {
+        auto const id = "id-" + std::to_string(i);
+        CAPTURE(id);
+        fleet.set_backend_behavior({{"backend", "i-s-0"}, {"mode", "late_unidentified"}, {"times", 1}});
+        CHECK(fleet.send_request(1, "/w/a", id + "-first", "POST", "entry").status == 200);
+        fleet.set_backend_behavior({{"backend", "i-s-1"}, {"mode", "shed"}});
+        auto const write = fleet.send_request(1, "/w/a", id, "POST", "entry");
+        CHECK(run_count(fleet.journal(), id) == (write.status == 503 ? 0 : 1));
+        met_rejection += write.status == 502 ? 1 : 0;
+        fleet.set_backend_behavior({{"service", "s"}, {"mode", "ok"}});
+    }
+    CHECK(met_rejection > 0);
+}
+
 TEST_CASE("requests that break the protocol or a limit are rejected and do not reach a backend server")
 {
     gateway_fleet fleet;
