Caller server: a response is sent whole as long as its caller reads it

Cause: the linger time-out (1 s), meant for the time after the last byte, started with the response and also limited the sending of what the socket did not accept at once.

Change: while bytes wait to be sent, the connection is checked every 3 s for bytes that the caller has acknowledged since; one that takes nothing is closed, with event=response_cut. The end of the stop still bounds everything. The same for the two other timers that cut such a response: the idle time-out of a kept connection starts with the last byte sent, and closing idle connections at the end of a stop spares it.

Why it works: no timer counts from the start of a response any more; what ends a connection is the lack of progress.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -181,6 +181,9 @@
         std::function<caller_limits()> limits; ///< Limits in force.
         /** A request was rejected before routing. @param status status of the response, or 0. @param reason why. */
         std::function<void(int status, char const* reason)> on_rejected;
+        /** A connection ended before its caller had received the complete response. May be empty. @param received
+         *  bytes that the caller has acknowledged. @param size size of the response in bytes. */
+        std::function<void(std::size_t received, std::size_t size)> on_response_cut = {};
     };
     /** @param loop event loop. @param hooks callbacks into the service. */
     caller_server(event_loop& loop, hooks hooks);
--- a/include/cornelspring/net.hpp
+++ b/include/cornelspring/net.hpp
@@ -204,6 +204,8 @@
     void send(std::string_view bytes);
     /** @return the number of bytes given to send() that the socket has not accepted yet. */
     std::size_t unsent() const;
+    /** @return the number of bytes given to send() that the peer has not acknowledged yet. */
+    std::size_t unacknowledged() const;
     /** @return whether the connection has not ended; also true while connecting. */
     bool open() const;
     /** @return the round-trip time measured by the kernel for this connection; 0 when not available. */
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -12,6 +12,8 @@
 /** How long a connection stays open after its last response. An earlier close could send a reset, which can destroy the
  *  response before the caller has read it. */
 constexpr milliseconds linger_timeout{1000};
+/** A caller that acknowledges no byte of a response for this long is taken for dead. */
+constexpr milliseconds send_stall_timeout{3000};
 /** Allowed size of the start line and headers of internal requests, if the limit for callers is lower. */
 constexpr std::size_t internal_header_bytes = 8192;
 
@@ -30,8 +32,10 @@
         bool close_after = false;               ///< Close once the response is sent.
         bool lingering =
             false; ///< Open only until the caller has read the last response; received bytes are discarded.
-        bool sent_continue = false; ///< 100 Continue was sent.
-        timer_id timer;             ///< Idle, header or linger time-out.
+        bool sent_continue = false;     ///< 100 Continue was sent.
+        std::size_t response_size = 0;  ///< Size of the last response.
+        std::size_t unacknowledged = 0; ///< Bytes of it that the caller lacked when that was last checked.
+        timer_id timer;                 ///< Idle, header, send or linger time-out.
     };
     event_loop& loop;                                                           ///< Event loop.
     hooks service;                                                              ///< Callbacks into the service.
@@ -52,6 +56,12 @@
     void remove(std::uint64_t number);
     void set_timer(std::uint64_t number, connection& of, milliseconds limit);
     void on_timer(std::uint64_t number);
+    /** Ends a connection whose caller has made no progress with a response since the last check. */
+    void check_progress(std::uint64_t number, connection& of);
+    /** The socket has accepted the complete response. */
+    void on_flushed(std::uint64_t number);
+    /** Reports a connection that ends before its response was sent. */
+    void report_cut(connection const& of) const;
     void respond(request_key key, http_response response);
     caller_limits limits_of(connection const& of) const;
 };
@@ -97,10 +107,7 @@
     stream_events events;
     events.on_bytes = [this, number](std::string_view bytes) { on_bytes(number, bytes); };
     events.on_end = [this, number](stream_end) { on_end(number); };
-    events.on_flushed = [this, number] {
-        auto const found = connections.find(number);
-        if (found != connections.end() && found->second->close_after && !found->second->serving) remove(number);
-    };
+    events.on_flushed = [this, number] { on_flushed(number); };
     made->stream = std::make_unique<tcp_stream>(loop, socket, stream_options{}, std::move(events));
     set_timer(number, *made, limits.idle_timeout);
     connections.emplace(number, std::move(made));
@@ -117,13 +124,49 @@
 {
     auto const found = connections.find(number);
     if (found == connections.end() || found->second->serving) return;
-    if (found->second->lingering || !found->second->reader->started()) {
+    auto& of = *found->second;
+    if (of.stream->unsent() > 0) {
+        check_progress(number, of);
+        return;
+    }
+    if (of.lingering || !of.reader->started()) {
         remove(number);
         return;
     }
     refuse(number, 408, "the request took too long to arrive");
 }
 
+void caller_server::impl::check_progress(std::uint64_t number, connection& of)
+{
+    auto const left = of.stream->unacknowledged();
+    if (left < of.unacknowledged) {
+        of.unacknowledged = left;
+        set_timer(number, of, send_stall_timeout);
+        return;
+    }
+    report_cut(of);
+    remove(number);
+}
+
+void caller_server::impl::on_flushed(std::uint64_t number)
+{
+    auto const found = connections.find(number);
+    if (found == connections.end() || found->second->serving) return;
+    auto& of = *found->second;
+    if (of.close_after) {
+        remove(number);
+    } else if (!of.lingering && !of.reader->started()) {
+        set_timer(number, of, limits_of(of).idle_timeout);
+    }
+}
+
+void caller_server::impl::report_cut(connection const& of) const
+{
+    if (of.stream->unsent() == 0 || !service.on_response_cut) return;
+    service.on_response_cut(of.response_size - std::min(of.response_size, of.stream->unacknowledged()),
+                            of.response_size);
+}
+
 void caller_server::impl::on_bytes(std::uint64_t number, std::string_view bytes)
 {
     auto const found = connections.find(number);
@@ -202,6 +245,7 @@
     auto const found = connections.find(number);
     if (found == connections.end()) return;
     auto const serving_key = found->second->serving;
+    report_cut(*found->second);
     remove(number);
     if (serving_key) service.on_caller_disconnected(*serving_key);
 }
@@ -226,19 +270,22 @@
     auto& to = *connections.at(number);
     to.serving.reset();
     to.close_after = to.close_after || closing;
-    to.stream->send(serialize(response, to.close_after, to.head));
+    auto const bytes = serialize(response, to.close_after, to.head);
+    to.stream->send(bytes);
+    to.response_size = bytes.size();
+    to.unacknowledged = to.stream->unacknowledged();
+    bool const flushed = to.stream->unsent() == 0;
+    if (to.close_after && flushed) {
+        // Deferred: respond() may be called within a callback of the connection.
+        loop.run_at(loop.now(), [this, number] { remove(number); });
+        return;
+    }
+    set_timer(number, to, flushed ? limits_of(to).idle_timeout : send_stall_timeout);
     if (to.close_after) {
-        if (to.stream->unsent() == 0) {
-            // Deferred: respond() may be called within a callback of the connection.
-            loop.run_at(loop.now(), [this, number] { remove(number); });
-        } else {
-            set_timer(number, to, linger_timeout);
-            to.lingering = true;
-        }
+        to.lingering = true;
         return;
     }
     to.reader->restart();
-    set_timer(number, to, limits_of(to).idle_timeout);
     if (to.pipelined.empty()) return;
     loop.run_at(loop.now(), [this, number] {
         auto const again = connections.find(number);
@@ -273,7 +320,9 @@
     m_impl->listeners.clear();
     std::vector<std::uint64_t> idle;
     for (auto const& [number, each] : m_impl->connections) {
-        if (!each->serving && !each->reader->started()) idle.push_back(number);
+        if (each->serving || each->reader->started()) continue;
+        if (each->stream->unsent() == 0) idle.push_back(number);
+        each->close_after = true; // Once its response is sent.
     }
     for (auto const number : idle)
         m_impl->remove(number);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,6 +144,7 @@
     };
     hooks.limits = [this] { return configs.current() ? configs.current()->limits() : caller_limits{}; };
     hooks.on_rejected = [this](int status, char const* reason) { log.on_rejected(status, reason); };
+    hooks.on_response_cut = [this](std::size_t received, std::size_t size) { log.response_cut(received, size); };
     callers = std::make_unique<caller_server>(loop, std::move(hooks));
     for (auto const& [address, roles] : listening_addresses(settings))
         callers->listen(address, roles);
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -189,6 +189,12 @@
     if (allowed(m_requests, request_lines_per_s)) write({{"event", "refused"}, {"status", status}, {"reason", reason}});
 }
 
+void gateway_log::response_cut(std::size_t received, std::size_t size)
+{
+    if (allowed(m_requests, request_lines_per_s))
+        write({{"event", "response_cut"}, {"received_bytes", received}, {"bytes", size}});
+}
+
 void gateway_log::refused_call(std::string const& caller, std::string const& target, int status, char const* reason)
 {
     if (!allowed(m_refused_calls, refused_call_lines_per_s)) {
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -3,8 +3,10 @@
 #include "socket.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -196,6 +198,13 @@
 
 std::size_t tcp_stream::unsent() const { return m_impl->pending.size() - m_impl->pending_from; }
 
+std::size_t tcp_stream::unacknowledged() const
+{
+    int in_socket = 0;
+    if (m_impl->ended || ioctl(m_impl->watch->fd, SIOCOUTQ, &in_socket) != 0) in_socket = 0;
+    return unsent() + static_cast<std::size_t>(in_socket);
+}
+
 bool tcp_stream::open() const { return !m_impl->ended; }
 
 std::chrono::microseconds tcp_stream::round_trip() const
