Registry: a server that has left is removed however often the store is regained

Cause: each cut counts as an outage, after which a server without a registration stays in use for 2.2 s. remove_lapsed() called remove(), which kept the server once more if the store had been regained within these 2.2 s.

Change: remove_lapsed() removes for good.

Why it works: the time of a server is set once, when its removal is learned, and nothing renews it but a new registration.

--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -322,7 +322,8 @@
     /** Records that the store responds again after an outage: removals received in the time after it may be lapsed
      *  registrations. @param now current time. */
     void on_store_recovered(time_point now) { m_lapses_until = now + m_lapse_grace; }
-    /** Removes the lapsed registrations that did not return in time. @param now current time. @return those removed. */
+    /** Removes the lapsed registrations that did not return in time, for good: a store that is lost and regained again
+     *  and again would otherwise keep servers in use that have left. @param now current time. @return those removed. */
     std::vector<backend_id> remove_lapsed(time_point now);
     /** @return the number of backend servers in their warm-up by their own report. @param now current time. */
     std::size_t cold_count(time_point now) const;
@@ -340,6 +341,8 @@
     bool outdated(backend_registration const& registration) const;
     /** Sets the preference ranks of the servers of @p group. @param group service. */
     static void rank_by_preference(service_group& group);
+    /** Forgets a backend server, but for its last registration. @param known its place in m_backends. */
+    void drop(std::unordered_map<std::string, std::shared_ptr<backend_server>>::iterator known);
     /** Removes a backend server from its group: it gets no new attempts. @param server backend server. */
     void retire(std::shared_ptr<backend_server> const& server);
 
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -179,15 +179,21 @@
         if (!server.lapsed_until) server.lapsed_until = m_lapses_until;
         return true;
     }
-    removed_server const last{server.registration.started_at, server.registration.sequence};
-    if (m_removed.insert_or_assign(id.value(), last).second) m_removal_order.push_back(id.value());
+    drop(found);
+    return true;
+}
+
+void backend_registry::drop(std::unordered_map<std::string, std::shared_ptr<backend_server>>::iterator known)
+{
+    auto const& [id, server] = *known;
+    removed_server const last{server->registration.started_at, server->registration.sequence};
+    if (m_removed.insert_or_assign(id, last).second) m_removal_order.push_back(id);
     if (m_removal_order.size() > max_removed) {
         m_removed.erase(m_removal_order.front());
         m_removal_order.pop_front();
     }
-    retire(found->second);
-    m_backends.erase(found);
-    return true;
+    retire(server);
+    m_backends.erase(known);
 }
 
 std::vector<backend_id> backend_registry::remove_lapsed(time_point now)
@@ -197,7 +203,7 @@
         if (server->lapsed_until && *server->lapsed_until <= now) dropped.emplace_back(id);
     }
     for (auto const& id : dropped)
-        remove(id, now);
+        drop(m_backends.find(id.value()));
     return dropped;
 }
 
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -86,6 +86,27 @@
     }
 }
 
+// Guards against renewing the time of a server that has left whenever the store is regained, as after each cut watch.
+TEST_CASE("routing: a server that has left is removed in time however often the store is lost and regained")
+{
+    constexpr auto grace = 2200ms;
+    for (auto const interval : {30ms, 300ms, 1000ms, 2100ms, 5000ms}) {
+        CAPTURE(interval.count());
+        backend_registry registry({domain_name("d"), region_name("r"), {}}, grace);
+        time_point const start{100s};
+        auto const left_at = start + 7s;
+        registry.apply({backend_id("b"), service_name("s"), {"127.0.0.1", 1}, domain_name("d"), 1, false, 0ms}, start);
+        auto last_in_use = start;
+        for (auto now = start; now < start + 30s; now += 10ms) {
+            if ((now - start) % interval == 0ms) registry.on_store_recovered(now);
+            if (now >= start + grace && (now - start - grace) % interval == 0ms) registry.remove_lapsed(now);
+            if (now == left_at) registry.remove(backend_id("b"), now);
+            if (registry.find(backend_id("b"))) last_in_use = now;
+        }
+        CHECK(last_in_use <= left_at + grace);
+    }
+}
+
 TEST_CASE("routing: the retry budget limits extra attempts in any window over all VMs")
 {
     retry_budget budget;
