--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -182,7 +182,8 @@
         /** A request was rejected before routing. @param status status of the response, or 0. @param reason why. */
         std::function<void(int status, char const* reason)> on_rejected;
         /** A connection ended before its caller had received the complete response. May be empty. @param received
-         *  bytes that the caller has acknowledged. @param size size of the response in bytes. */
+         *  bytes that the caller had acknowledged or, if the connection failed, that the socket had accepted.
+         *  @param size size of the response in bytes. */
         std::function<void(std::size_t received, std::size_t size)> on_response_cut = {};
     };
     /** @param loop event loop. @param hooks callbacks into the service. */
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -37,8 +37,8 @@
     void on_request(request_summary const& summary, milliseconds state_age, std::string const& quota_account = {});
     /** Logs a request that was rejected while it was read. @param status status of the response. @param reason why. */
     void on_rejected(int status, char const* reason);
-    /** Logs that a connection ended before its caller had received the complete response. @param received bytes that
-     *  the caller has acknowledged. @param size size of the response in bytes. */
+    /** Logs that a connection ended before its caller had received the complete response.
+     *  @param received see caller_server::hooks::on_response_cut. @param size size of the response in bytes. */
     void response_cut(std::size_t received, std::size_t size);
     /** Logs that the gateway itself refused a request: a call from an unknown address, or a malformed one. At most one
      *  line is written in a second, with the number of lines suppressed since the last one. @param caller address of
