Gateway: the log and the metrics tell how attempts without a response ended, also after a reset

The incident's hypotheses could not be told apart: a request whose attempts ended with a reset had no digest in its log line, so its repetitions could not be found, and the metrics counted all such attempts as 'lost'. A request line now has the digest, the path and the field 'unanswered' whenever an attempt may have run and got no response; cornel_gateway_unanswered_attempts_total counts these by what the connection showed; quarantine lines have the number of quarantines so far.

The backend server of the stand-in can crash in six forms: end of stream, reset, half of a head, half of a body, bytes that are no response, silence.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -181,6 +181,7 @@
     milliseconds caller_time_spent{0};     ///< Caller's time until its request was read, plus network time.
     int failed_attempts = 0;               ///< Number of failed attempts.
     int disconnects = 0;                   ///< Failed attempts for which the backend server closed the connection.
+    int unanswered = 0;                    ///< Failed attempts that may have run, these included.
     request_digest digest;                 ///< Digest of the request, the same for its repetitions; empty until set.
     caller_address caller;                 ///< Address of the caller.
     bool sequential = false;               ///< Its attempts were sent one at a time.
--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -90,6 +90,7 @@
         request_digest digest;                               ///< The request.
         quarantine_status status = quarantine_status::clear; ///< Its status now.
         int crashes = 0;                                     ///< Crashes observed by all gateways.
+        int quarantines = 0;                                 ///< Number of its quarantines so far.
         std::string source;                                  ///< Gateway that sent the record; empty: observed here.
         bool own_record_changed = false;                     ///< This VM's own records changed and must be published.
     };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -112,7 +112,7 @@
     auto& summary = request.summary;
     summary.shards_answered = request.done;
     summary.duration = std::chrono::duration_cast<std::chrono::microseconds>(now - request.arrived_at);
-    if (summary.disconnects > 0) set_digest(request);
+    if (summary.unanswered > 0) set_digest(request);
     hooks.on_finished(summary);
 }
 
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -242,6 +242,7 @@
         bool const usable = result.outcome == attempt_status::answered && is_usable(request, result.response);
         if (!usable) shard.used_connections.push_back(result.connection);
         if (attempt.sequential && !may_have_run(result.outcome)) --request.sequential_runs;
+        if (may_have_run(result.outcome)) ++request.summary.unanswered;
         if (result.outcome != attempt_status::answered && ++request.summary.failed_attempts <= max_described_failures) {
             request.summary.failure_details += attempt.target->registration.id.value() + ":" +
                                                to_string(result.outcome) + ":" + result.detail +
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,7 +22,7 @@
 void gateway::impl::make_dispatcher()
 {
     pool = std::make_unique<backend_pool>(loop, settings.pool, [this](attempt_id id, attempt_result result) {
-        metrics.on_attempt(result.outcome);
+        metrics.on_attempt(result);
         requests->on_result(id, std::move(result), loop.now());
         wake_dispatcher();
     });
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -169,6 +169,7 @@
     }
     if (!summary.digest.value().empty()) {
         append_number(line, "disconnects", summary.disconnects);
+        append_number(line, "unanswered", summary.unanswered);
         line.append(",\"cautious\":").append(summary.sequential ? "true" : "false");
         line.append(",\"digest\":\"").append(summary.digest.value());
         line.append("\",\"caller\":\"").append(summary.caller.value()).append("\",\"line\":");
@@ -303,6 +304,7 @@
            {"digest", change.digest.value()},
            {"standing", to_string(change.status)},
            {"crashes", change.crashes},
+           {"quarantines", change.quarantines},
            {"left_ms", remaining.count()},
            {"source", change.source.empty() ? "here" : change.source}});
 }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -46,6 +46,10 @@
                      .Name("cornel_gateway_attempts_total")
                      .Help("Attempts at backend servers by how they ended")
                      .Register(*m_registry)),
+      m_unanswered(prometheus::BuildCounter()
+                       .Name("cornel_gateway_unanswered_attempts_total")
+                       .Help("Attempts that may have run and got no response, by what the connection showed")
+                       .Register(*m_registry)),
       m_extra(prometheus::BuildCounter()
                   .Name("cornel_gateway_extra_attempts_total")
                   .Help("Attempts beyond the first of a shard: hedges and retries")
@@ -101,7 +105,11 @@
     if (summary.retries > 0) m_extra.Add({{"kind", "retry"}}).Increment(summary.retries);
 }
 
-void gateway_metrics::on_attempt(attempt_status end) { m_attempts.Add({{"end", to_string(end)}}).Increment(); }
+void gateway_metrics::on_attempt(attempt_result const& result)
+{
+    m_attempts.Add({{"end", to_string(result.outcome)}}).Increment();
+    if (may_have_run(result.outcome)) m_unanswered.Add({{"how", result.detail}}).Increment();
+}
 
 void gateway_metrics::on_refused_call(int status)
 {
--- a/src/gateway/gateway_metrics.hpp
+++ b/src/gateway/gateway_metrics.hpp
@@ -19,7 +19,7 @@
     /** Counts a finished request. @param summary its outcome. @param now current time. */
     void on_request(request_summary const& summary, time_point now);
     /** Counts a finished attempt. @param end its outcome. */
-    void on_attempt(attempt_status end);
+    void on_attempt(attempt_result const& result);
     /** Counts a request that the gateway itself refused: a call from an unknown address, or a malformed one.
      *  @param status status of the response. */
     void on_refused_call(int status);
@@ -54,7 +54,9 @@
     prometheus::Family<prometheus::Counter>& m_requests;  ///< Requests by route and outcome.
     prometheus::Family<prometheus::Histogram>& m_latency; ///< Latency by route.
     prometheus::Family<prometheus::Counter>& m_attempts;  ///< Attempts by outcome.
-    prometheus::Family<prometheus::Counter>& m_extra;     ///< Hedges and retries.
+    /** Attempts that may have run and got no response, by what the connection showed. */
+    prometheus::Family<prometheus::Counter>& m_unanswered;
+    prometheus::Family<prometheus::Counter>& m_extra; ///< Hedges and retries.
     prometheus::Family<prometheus::Counter>&
         m_unplaced; ///< Choices of a backend server that a placement rule left without one, by rule.
     prometheus::Family<prometheus::Counter>& m_customers;     ///< Requests by customer and outcome.
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -194,8 +194,10 @@
 {
     if (!m_on_change) return;
     auto const found = m_requests.find(digest.value());
-    int const crashes = found == m_requests.end() ? 0 : found->second.crashes();
-    m_on_change({digest, status(digest, now), crashes, source, own_record_changed});
+    bool const known = found != m_requests.end();
+    int const crashes = known ? found->second.crashes() : 0;
+    int const quarantines = known ? found->second.quarantines : 0;
+    m_on_change({digest, status(digest, now), crashes, quarantines, source, own_record_changed});
 }
 
 } // namespace cornelspring
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -121,7 +121,8 @@
                 server->rename(body["rename"]);
             }
             if (body.contains("crash_path"))
-                server->crash_on(body["crash_path"], milliseconds(body.value("down_ms", 1000)));
+                server->set_crash(
+                    {body["crash_path"], milliseconds(body.value("down_ms", 1000)), body.value("crash_form", "end")});
             if (body.contains("mode") || body.contains("work_ms"))
                 server->set_behaviour({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1)});
         }
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -1,7 +1,21 @@
 /** @file shard_server.cpp Stand-in for a backend server of the users' platform. */
 #include "shard_server.hpp"
 
+#include <sys/socket.h>
+
+#include <map>
+
 namespace cornelspring::testing {
+namespace {
+
+/** Makes the close of @p socket reset its connection. */
+void reset_on_close(int socket)
+{
+    linger const none{1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
+
+} // namespace
 
 shard_server::shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal)
     : m_loop(loop), m_id(std::move(id)), m_service(std::move(service)), m_journal(journal)
@@ -20,22 +34,34 @@
         events.on_end = [this, number](stream_end) {
             m_loop.run_at(m_loop.now(), [this, number] { m_connections.erase(number); });
         };
+        added.socket = socket;
         added.stream = std::make_unique<tcp_stream>(m_loop, socket, stream_options{}, std::move(events));
     });
     m_port = m_listener->port();
 }
 
-void shard_server::crash_on(std::string path, milliseconds down)
-{
-    m_crash_path = std::move(path);
-    m_down_time = down;
-}
-
-void shard_server::crash()
+void shard_server::crash(std::uint64_t number)
 {
     if (!m_listener) return;
-    m_connections.clear();
-    m_loop.run_at(m_loop.now() + m_down_time, [this] { listen(m_port); });
+    static std::map<std::string, std::string> const last_bytes{
+        {"half_head", "HTTP/1.1 200 OK\r\nserver-st"},
+        {"half_body", "HTTP/1.1 200 OK\r\nserver-stamp: x\r\ncontent-length: 80\r\n\r\n0123"},
+        {"garbage", "\x16\x03\x01 no response"}};
+    auto const found = m_connections.find(number);
+    auto const bytes = last_bytes.find(m_crash.form);
+    if (found != m_connections.end() && bytes != last_bytes.end()) found->second.stream->send(bytes->second);
+    if (m_crash.form == "silence") {
+        // Open connections stay, as those of a VM without power.
+        for (auto& [open_number, open] : m_connections)
+            open.silent = true;
+    } else {
+        if (m_crash.form == "reset") {
+            for (auto& [open_number, open] : m_connections)
+                reset_on_close(open.socket);
+        }
+        m_connections.clear();
+    }
+    m_loop.run_at(m_loop.now() + m_crash.down, [this] { listen(m_port); });
     m_listener.reset();
 }
 
@@ -54,7 +80,7 @@
 void shard_server::on_bytes(std::uint64_t number, std::string_view bytes)
 {
     auto const found = m_connections.find(number);
-    if (found == m_connections.end()) return;
+    if (found == m_connections.end() || found->second.silent) return;
     auto& reader = *found->second.reader;
     reader.feed(bytes);
     if (reader.state() == parse_state::incomplete) {
@@ -95,8 +121,8 @@
         reject(m_connections.at(number), request, misdirected, mode);
         return;
     }
-    if (!m_crash_path.empty() && request.path == m_crash_path) {
-        m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms), [this] { crash(); });
+    if (!m_crash.path.empty() && request.path == m_crash.path) {
+        m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms), [this, number] { crash(number); });
         return;
     }
     if (mode == "hang") return;
@@ -132,7 +158,7 @@
 void shard_server::respond(std::uint64_t number, http_request const& request, std::string const& mode)
 {
     auto const found = m_connections.find(number);
-    if (found == m_connections.end()) return;
+    if (found == m_connections.end() || found->second.silent) return;
     auto& to = found->second;
     auto response = make_response(request);
     if (mode == "error") response.status = 500;
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -20,6 +20,13 @@
     int times = -1;  ///< Number of requests to which it applies; -1 for all.
 };
 
+/** How a crash of a backend server looks to its callers. */
+struct crash_behaviour {
+    std::string path;         ///< Path of the requests that crash the server; empty for none.
+    milliseconds down{1000};  ///< Time after a crash until the server listens again.
+    std::string form = "end"; ///< One of: end (of stream), reset, half_head, half_body, garbage (then end), silence.
+};
+
 /** A request that a backend server received. */
 struct journal_entry {
     std::string request_id;    ///< Id of the request, set by the caller.
@@ -47,9 +54,9 @@
     std::string const& service() const { return m_service; }
     /** Sets the behaviour for the next requests. */
     void set_behaviour(shard_behaviour behaviour) { m_behaviour = std::move(behaviour); }
-    /** Makes requests for @p path crash the server when they run, unless the behaviour rejects them: all connections
-     *  are closed, and new ones are refused for @p down. An empty path ends this. */
-    void crash_on(std::string path, milliseconds down);
+    /** Makes requests for a path crash the server when they run, unless the behaviour rejects them: all connections
+     *  end, and new ones are refused for a while. */
+    void set_crash(crash_behaviour crash) { m_crash = std::move(crash); }
     /** Changes the id, to simulate that another backend server now uses the address. */
     void rename(std::string id) { m_id = std::move(id); }
     /** @return the records in the response. @param service service. @param request_id id of the request. */
@@ -61,6 +68,8 @@
         std::unique_ptr<tcp_stream> stream;     ///< Stream.
         std::unique_ptr<message_reader> reader; ///< Parser of the requests.
         std::string late_response;              ///< Bytes to send before the next response.
+        int socket = -1;                        ///< Socket of the stream.
+        bool silent = false;                    ///< Nothing is read or sent any more.
     };
     void on_bytes(std::uint64_t number, std::string_view bytes);
     /** Rejects @p request, which does not run. @param misdirected it was meant for another server. */
@@ -70,17 +79,17 @@
     std::string consume_mode();
     /** Listens on @p port; 0 picks a free port. */
     void listen(std::uint16_t port);
-    /** Closes all connections and the listener, and listens again after m_down_time. */
-    void crash();
+    /** Ends all connections and the listener, and listens again after a while. @param number connection of the request
+     *  that crashes the server. */
+    void crash(std::uint64_t number);
     http_response make_response(http_request const& request) const;
 
-    event_loop& m_loop;                    ///< Event loop.
-    std::string m_id;                      ///< Id.
-    std::string m_service;                 ///< Service.
-    std::vector<journal_entry>& m_journal; ///< Received requests.
-    shard_behaviour m_behaviour;           ///< Behaviour for the next requests.
-    std::string m_crash_path;              ///< Path of the requests that crash the server; empty for none.
-    milliseconds m_down_time{0};           ///< Time after a crash until the server listens again.
+    event_loop& m_loop;                                          ///< Event loop.
+    std::string m_id;                                            ///< Id.
+    std::string m_service;                                       ///< Service.
+    std::vector<journal_entry>& m_journal;                       ///< Received requests.
+    shard_behaviour m_behaviour;                                 ///< Behaviour for the next requests.
+    crash_behaviour m_crash;                                     ///< Which requests crash the server, and how.
     std::unordered_map<std::uint64_t, connection> m_connections; ///< Open connections by number.
     std::uint64_t m_last_number = 0;                             ///< Number of the most recent connection.
     std::uint16_t m_port = 0;                                    ///< Bound port.
--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -67,6 +67,23 @@
     CHECK(first.at("digest") == lines.at(0).at("digest"));
 }
 
+TEST_CASE("the log and the metrics show how backend servers end the connections of a request, and its digest")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.set_backend_behavior({{"crash_path", "/r/deadly"}, {"crash_form", "reset"}, {"down_ms", 300}});
+    CHECK(fleet.send_request(1, "/r/deadly", "reset").status >= 500);
+    std::vector<json> lines;
+    REQUIRE(within_ten_seconds([&] { return !(lines = log_lines(fleet, 1, "reset")).empty(); }));
+    CHECK(lines.at(0).at("unanswered").get<int>() >= 1);
+    CHECK(lines.at(0).at("failures").get<std::string>().find("reset without a response") != std::string::npos);
+    CHECK(lines.at(0).at("line") == "GET h.example/r/deadly");
+    CHECK(lines.at(0).at("digest").get<std::string>().size() == 32);
+    auto const metrics = gateway_fleet::get({gateway_fleet::address(1, "ready").host, 9464}, "/metrics").body;
+    CHECK(metrics.find("cornel_gateway_unanswered_attempts_total{how=\"reset without a response\"}") !=
+          std::string::npos);
+}
+
 /*
  * Guards against an outage of a whole service: for most of a minute no query over shards got a response, because all
  * backend servers of the service were down.
