--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -40,6 +41,45 @@
     return count;
 }
 
+/** Time after the third crash within which all gateways must know of it; below the platform's shortest bound, 5 s. */
+constexpr std::int64_t known_within_ms = 1500;
+
+/** @return how many repetitions of the request for @p path reached backend servers after all gateways must have known
+ *  that it crashes them. */
+std::size_t late_repetitions(gateway_fleet& fleet, std::string const& path)
+{
+    std::vector<std::pair<std::int64_t, std::string>> arrivals;
+    for (auto const& entry : fleet.journal()) {
+        if (entry.at("line") == "GET " + path) arrivals.emplace_back(entry.at("at_ms"), entry.at("id"));
+    }
+    constexpr std::size_t crash_threshold = 3;
+    if (arrivals.size() < crash_threshold) return 0;
+    auto const known_at = arrivals[crash_threshold - 1].first + known_within_ms;
+    std::set<std::string> late;
+    for (auto const& [at_ms, id] : arrivals) {
+        if (at_ms > known_at) late.insert(id);
+    }
+    return late.size();
+}
+
+/** Most repetitions that may reach backend servers late. */
+constexpr std::size_t max_late_repetitions = 3;
+
+/** Sends a request that crashes backend servers in the form @p form to three gateways in turn, for eight seconds.
+ *  @return how many of its repetitions reached backend servers late. */
+std::size_t late_repetitions_after(char const* form, std::string const& path)
+{
+    gateway_fleet fleet;
+    for (int const number : {1, 2, 3})
+        fleet.start_gateway(number);
+    fleet.set_backend_behavior({{"crash_path", path}, {"crash_form", form}, {"down_ms", 300}});
+    for (int i = 0; i < 16; ++i) {
+        CHECK(fleet.send_request(1 + i % 3, path, "id-" + std::to_string(i)).status >= 500);
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    return late_repetitions(fleet, path);
+}
+
 /** @return how many ids in @p count start with @p prefix. */
 int ids_with_prefix(std::map<std::string, int> const& count, std::string const& prefix)
 {
@@ -137,3 +177,69 @@
     // Four shards with two servers each: one attempt per shard, and at most one more to confirm the crash.
     CHECK(arrivals_by_id(fleet)["first"] <= 5);
 }
+
+TEST_CASE("repetitions of a request under which backend servers reset their connections stay away from them")
+{
+    CHECK(late_repetitions_after("reset", "/r/deadly") <= max_late_repetitions);
+    CHECK(late_repetitions_after("reset", "/q/deadly") <= max_late_repetitions);
+}
+
+TEST_CASE("repetitions of a request under which backend servers break off their responses stay away from them")
+{
+    for (char const* form : {"half_head", "half_body", "garbage"}) {
+        CAPTURE(form);
+        CHECK(late_repetitions_after(form, "/r/deadly") <= max_late_repetitions);
+    }
+    CHECK(late_repetitions_after("half_body", "/q/deadly") <= max_late_repetitions);
+}
+
+TEST_CASE("repetitions of a request that silences backend servers stay away from them")
+{
+    CHECK(late_repetitions_after("silence", "/r/deadly") <= max_late_repetitions);
+}
+
+TEST_CASE("a request that crashes backend servers is not tried by all gateways at once when the servers are back")
+{
+    gateway_fleet fleet;
+    constexpr int gateways = 6;
+    for (int number = 1; number <= gateways; ++number)
+        fleet.start_gateway(number);
+    std::string const path = "/r/deadly";
+    fleet.set_backend_behavior({{"crash_path", path}, {"down_ms", 2000}, {"work_ms", 100}});
+    std::vector<std::thread> callers;
+    for (int number = 1; number <= gateways; ++number) {
+        callers.emplace_back([&fleet, &path, number] {
+            for (int i = 0; i < 60; ++i) {
+                fleet.send_request(number, path, "id-" + std::to_string(number) + "-" + std::to_string(i));
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(late_repetitions(fleet, path) <= max_late_repetitions);
+}
+
+TEST_CASE("a request that crashes backend servers is recognized whichever key of its customer it has")
+{
+    gateway_fleet fleet;
+    json const keys{"k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7"};
+    fleet.configure(2, {"g0", "g1", "g2", "g3"}, {}, {{{"name", "school"}, {"api_keys", keys}}});
+    for (int const number : {1, 2, 3})
+        fleet.start_gateway(number);
+    std::string const path = "/r/deadly";
+    fleet.set_backend_behavior({{"crash_path", path}, {"down_ms", 300}});
+    for (std::size_t i = 0; i < 16; ++i) {
+        raw_connection connection(gateway_fleet::address(1 + static_cast<int>(i % 3), "frontend"));
+        http_request request;
+        request.path = path;
+        request.headers = {{"Host", "h.example"},
+                           {"Request-Id", "id-" + std::to_string(i)},
+                           {"Deadline", "1500"},
+                           {"Authorization", "Bearer " + keys.at(i % keys.size()).get<std::string>()}};
+        connection.send(serialize(request));
+        CHECK(connection.receive().value_or(http_response{}).status >= 500);
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    CHECK(late_repetitions(fleet, path) <= max_late_repetitions);
+}
