Crashing requests: a crash counts in whatever form the connection shows it

Cause: only an orderly end of the stream without a byte counted as a crash. A kernel resets a connection whose bytes the process had not read, and a process that has begun to respond leaves half a response: these attempts ended as 'lost', which counts against the server alone.

Change: a response broken off or malformed counts like a closed connection. A reset without a byte is an outcome of its own. It may have other reasons (limit of connections, a dropped kept connection), so it does not cancel what is in flight: further attempts wait for the first response and then use new connections, and one at a time on a new connection it counts as a crash. A request without any response that saw only doubtful resets counts one crash, so that its repetition goes on trial.

Why it holds: the first repetition of such a request is a trial on a new connection, whatever it saw before.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -144,6 +144,7 @@
     /** Connections that have carried an attempt of the same request for the same shard. It is not sent on these: a
      *  response to the earlier attempt that the backend server repeats late has the request id expected here. */
     std::vector<connection_id> used_connections;
+    bool needs_new_connection = false; ///< It is not sent on a connection that was open before.
 };
 
 /** Result of an attempt. */
@@ -152,6 +153,7 @@
     http_response response;                        ///< The response, if the outcome is answered or not_executed.
     std::string detail;                            ///< Cause of a failure, for logs.
     connection_id connection{};                    ///< Connection that it was sent on.
+    bool new_connection = false;                   ///< That connection was opened for it.
 };
 
 /** Time that a request spends outside the dispatcher: waiting to be read, and on the network. */
--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -11,13 +11,22 @@
 
 // ---- HTTP/1.1 client connections ----
 
+/** How a peer ended an exchange without a complete response. */
+enum class peer_failure {
+    none, ///< It did not, or the request cannot have reached it.
+    /** It closed the connection, ended it in the middle of a response, or sent bytes that are no response. It had read
+     *  the request. */
+    broken_off,
+    reset, ///< It reset the connection before any byte of a response. It may not have read the request.
+};
+
 /** Outcome of an exchange on a client connection. */
 struct exchange_result {
-    bool completed = false;              ///< A complete, matching response was received.
-    bool sent = false;                   ///< The request may have reached the peer.
-    bool closed_before_response = false; ///< The peer closed the connection without sending any byte of a response.
-    http_response response;              ///< The response, if completed.
-    char const* detail = "";             ///< Why the exchange did not complete.
+    bool completed = false;                    ///< A complete, matching response was received.
+    bool sent = false;                         ///< The request may have reached the peer.
+    peer_failure failure = peer_failure::none; ///< How the peer ended the exchange, if it did not complete.
+    http_response response;                    ///< The response, if completed.
+    char const* detail = "";                   ///< Why the exchange did not complete.
 };
 
 /** One HTTP/1.1 connection to a peer that carries one request at a time. */
--- a/include/cornelspring/routing.hpp
+++ b/include/cornelspring/routing.hpp
@@ -172,16 +172,18 @@
     not_executed, ///< The backend server reported that it did not run the request.
     wrong_server, ///< Another incarnation has the address; it did not run the request.
     not_sent,     ///< No byte of the request was accepted by the peer.
-    lost,         ///< Sent, but no usable response: it may have run.
-    /** Sent, and the backend server closed the connection without a byte of a response: the request may have run and
-     *  crashed it. A reset does not count as this: it occurs for requests that the backend server did not read, above
-     *  its connection limit or on a keep-alive connection that it has already dropped. */
+    lost,         ///< Sent, but the response cannot be used: it may have run.
+    /** Sent, and the backend server closed the connection, broke off its response, or sent bytes that are none: the
+     *  request may have run and crashed it. */
     disconnected,
+    /** Sent, and the connection was reset before any byte of a response. The request may have run and crashed the
+     *  backend server, or was not read: above its limit of connections, or on a connection that it has dropped. */
+    reset,
 };
 /** @return whether the request may have run in an attempt with this outcome. @param end outcome. */
 inline bool may_have_run(attempt_status end)
 {
-    return end == attempt_status::lost || end == attempt_status::disconnected;
+    return end == attempt_status::lost || end == attempt_status::disconnected || end == attempt_status::reset;
 }
 /** @return the name of @p end for logs. @param end outcome. */
 char const* to_string(attempt_status end);
--- a/src/dispatch/dispatcher_attempts.cpp
+++ b/src/dispatch/dispatcher_attempts.cpp
@@ -81,6 +81,7 @@
     attempt.head_request = request.message.method == "HEAD";
     attempt.idempotent = request.matched_route->kind == route_kind::idempotent;
     attempt.used_connections = shard.used_connections;
+    attempt.needs_new_connection = request.resets > 0 || (request.on_trial && request.sequential);
     attempts.emplace(id.value(),
                      open_attempt{request.key, index, shard.group, chosen.target,
                                   &request.latencies->of(chosen.target->distance), now, request.sequential, false});
@@ -252,7 +253,7 @@
             bool const held = usable && on_usable_response(request, now);
             on_response(request, attempt.shard, std::move(result.response), now);
             if (held) send_held_shards(request, now);
-        } else if (result.outcome != attempt_status::disconnected || on_backend_disconnected(request, now)) {
+        } else if (on_unanswered(request, attempt, result, now)) {
             on_failure(request, attempt.shard, result, now);
         }
         if (request.sequential) send_next_sequential(request, now);
--- a/src/dispatch/dispatcher_crash_suspects.cpp
+++ b/src/dispatch/dispatcher_crash_suspects.cpp
@@ -59,6 +59,7 @@
     quarantine.start_trial(request.summary.digest);
     request.on_trial = true;
     switch_to_sequential(request);
+    leave_admission(request);
 }
 
 void dispatcher::impl::send_first_attempts(request_state& request, time_point now)
@@ -73,6 +74,28 @@
         send_first_attempt(request, i, now);
 }
 
+bool dispatcher::impl::on_unanswered(request_state& request, open_attempt const& attempt, attempt_result const& result,
+                                     time_point now)
+{
+    // A backend server does not reset a new connection without a reason. Its limit of connections is one, but a request
+    // that is alone in flight and meets it everywhere, again and again, is unlikely.
+    bool const crash_likely = result.outcome == attempt_status::disconnected ||
+                              (result.outcome == attempt_status::reset && attempt.sequential && result.new_connection);
+    if (crash_likely) return on_backend_disconnected(request, now);
+    if (result.outcome == attempt_status::reset) on_backend_reset(request);
+    return true;
+}
+
+/**
+ * Other attempts of the request in flight show whether it or the connection caused the reset. The next ones use new
+ * connections, which a backend server cannot have dropped.
+ */
+void dispatcher::impl::on_backend_reset(request_state& request)
+{
+    ++request.resets;
+    if (!request.usable_received) switch_to_sequential(request);
+}
+
 /**
  * If no backend server has sent a usable response yet, the first closed connection does not lead to a retry at another
  * replica of the shard: the other shards in flight show within milliseconds whether the request or the server caused
@@ -88,7 +111,8 @@
         finish(request.key, failure_response(request, false), "crashed_servers", now);
         return false;
     }
-    if (!request.sequential) switch_to_sequential(request);
+    switch_to_sequential(request);
+    leave_admission(request); // From now on its response time is no measure of the queues.
     if (request.summary.disconnects >= disconnects_before_cancel) cancel_and_hold(request, now);
     return true;
 }
@@ -100,8 +124,8 @@
 
 void dispatcher::impl::switch_to_sequential(request_state& request)
 {
+    if (request.sequential) return;
     request.sequential = request.summary.sequential = true;
-    leave_admission(request); // From now on its response time is no measure of the queues.
     for (auto& shard : request.shards)
         shard.hedge_at = time_point::max();
 }
@@ -191,10 +215,12 @@
         // Peer gateways may have started to suspect the request while it was in flight.
         if (!quarantine.empty()) quarantine.on_response(digest_of(request.message), now);
     }
-    bool const no_evidence = summary.disconnects == 0 && !request.on_trial;
+    // Resets that may have other reasons count as one crash, so that a repetition of the request goes on trial.
+    int const crashes = summary.disconnects > 0 ? summary.disconnects : std::min(request.resets, 1);
+    bool const no_evidence = crashes == 0 && !request.on_trial;
     if (request.usable_received || no_evidence || safe_requests.contains(request.message, now)) return;
     set_digest(request);
-    if (summary.disconnects > 0) quarantine.on_crashes(summary.digest, summary.disconnects, now);
+    if (crashes > 0) quarantine.on_crashes(summary.digest, crashes, now);
     if (request.sequential_runs > 0 && quarantine.reaches_crash_threshold(summary.digest, 0)) {
         quarantine.start_quarantine(summary.digest, now);
     }
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -202,6 +202,12 @@
 
     /** Handles the result of an attempt. */
     void on_result(attempt_id id, attempt_result result, time_point now);
+    /** Handles an attempt that finished without a response: whether its request may have crashed the backend server.
+     *  @return whether the request is still open. */
+    bool on_unanswered(request_state& request, open_attempt const& attempt, attempt_result const& result,
+                       time_point now);
+    /** Handles a reset that may have other reasons than a crash. */
+    void on_backend_reset(request_state& request);
     /** Updates the warm-up time of a backend server from its response. */
     void update_warmup(backend_server& server, http_response const& response, time_point now) const;
     /** Handles a complete response. */
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -88,6 +88,7 @@
     bool on_trial = false;        ///< It was a suspect on arrival, and this is its trial.
     bool usable_received = false; ///< Some backend server has sent a usable response.
     int sequential_runs = 0;      ///< Attempts of the one-at-a-time phase that may have run.
+    int resets = 0;               ///< Attempts that ended with a reset which may not be due to a crash.
     request_summary summary;      ///< Summary for logs and metrics.
     /** @return its priority in queues. */
     request_priority priority() const { return {by == nullptr ? 0 : by->priority, matched_route->priority}; }
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -23,17 +23,18 @@
         connection_id id;                          ///< Id.
         std::unique_ptr<client_connection> client; ///< Connection; null: none.
     };
-    /** @return whether @p attempt must not be sent on @p connection. */
-    static bool was_used(outgoing_attempt const& attempt, pooled_connection const& connection)
+    /** @return whether @p attempt must not be sent on @p connection, which was open before. */
+    static bool unsuitable(outgoing_attempt const& attempt, pooled_connection const& connection)
     {
         auto const& used = attempt.used_connections;
-        return std::find(used.begin(), used.end(), connection.id) != used.end();
+        return attempt.needs_new_connection || std::find(used.begin(), used.end(), connection.id) != used.end();
     }
     /** An attempt in flight and its connection. */
     struct active_attempt {
         pooled_connection connection;           ///< Connection.
         std::shared_ptr<backend_server> server; ///< Backend server.
         timer_id connect_timer;                 ///< Cancels the attempt when connecting times out.
+        bool new_connection = false;            ///< The connection was opened for it.
     };
     event_loop& loop;                                          ///< Event loop.
     pool_options options;                                      ///< Settings.
@@ -57,7 +58,7 @@
     pooled_connection take_idle(outgoing_attempt const& attempt);
     /** Closes an idle connection that @p attempt must not be sent on, if there is one, in exchange for a new one: with
      *  both, the backend server could have more connections than it accepts. */
-    void close_used(outgoing_attempt const& attempt);
+    void close_unsuitable(outgoing_attempt const& attempt);
     /** @return the request with the time left at @p now in its deadline header; empty when none is left. */
     std::string write_request(outgoing_attempt const& attempt, time_point now) const;
     void send(outgoing_attempt attempt);
@@ -88,7 +89,7 @@
     auto const now = loop.now();
     // The one used most recently is the least likely to be dead.
     for (auto at = available.size(); at-- > 0;) {
-        if (was_used(attempt, available[at])) continue;
+        if (unsuitable(attempt, available[at])) continue;
         auto taken = std::move(available[at]);
         available.erase(available.begin() + static_cast<std::ptrdiff_t>(at));
         auto& client = *taken.client;
@@ -100,14 +101,14 @@
     return {};
 }
 
-void backend_pool::impl::close_used(outgoing_attempt const& attempt)
+void backend_pool::impl::close_unsuitable(outgoing_attempt const& attempt)
 {
     auto const found = idle.find(attempt.target);
     if (found == idle.end()) return;
     auto& available = found->second;
-    auto const used = std::find_if(available.begin(), available.end(),
-                                   [&](auto const& connection) { return was_used(attempt, connection); });
-    if (used != available.end()) available.erase(used);
+    auto const closed = std::find_if(available.begin(), available.end(),
+                                     [&](auto const& connection) { return unsuitable(attempt, connection); });
+    if (closed != available.end()) available.erase(closed);
 }
 
 /**
@@ -128,8 +129,9 @@
     entry.server = attempt.target;
     entry.connection = take_idle(attempt);
     if (!entry.connection.client) {
-        close_used(attempt);
+        close_unsuitable(attempt);
         entry.connection = open(*attempt.target);
+        entry.new_connection = true;
         entry.connect_timer = loop.run_at(loop.now() + options.connect_timeout, [this, id] { on_connect_timeout(id); });
     }
     client_connection::exchange exchange;
@@ -172,13 +174,15 @@
     bool const kept = result.completed && entry.connection.client->reusable();
     auto outcome = classify(std::move(result));
     outcome.connection = entry.connection.id;
+    outcome.new_connection = entry.new_connection;
     if (kept) add_idle(entry.server, std::move(entry.connection));
     on_result(id, std::move(outcome));
 }
 
 attempt_result backend_pool::impl::classify(exchange_result result) const
 {
-    if (result.closed_before_response) return {attempt_status::disconnected, {}, result.detail};
+    if (result.failure == peer_failure::broken_off) return {attempt_status::disconnected, {}, result.detail};
+    if (result.failure == peer_failure::reset) return {attempt_status::reset, {}, result.detail};
     if (!result.completed) return {result.sent ? attempt_status::lost : attempt_status::not_sent, {}, result.detail};
     auto& response = result.response;
     constexpr int status_misdirected = 421;
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -46,7 +46,8 @@
     }
     // Deferred: the owner may not have returned from start() yet.
     m_loop.run_at(m_loop.now(), [this, alive = std::weak_ptr<bool>(m_alive)] {
-        if (!alive.expired() && m_exchange) finish_exchange({false, false, false, {}, "no time was left to send it"});
+        if (!alive.expired() && m_exchange)
+            finish_exchange({false, false, peer_failure::none, {}, "no time was left to send it"});
     });
 }
 
@@ -66,7 +67,7 @@
         if (m_reader.state() == parse_state::incomplete) return;
         if (m_reader.state() != parse_state::complete) {
             m_unusable = true;
-            finish_exchange({false, true, false, {}, "malformed response"});
+            finish_exchange({false, true, peer_failure::broken_off, {}, "malformed response"});
             return;
         }
         auto const match = m_exchange->matches(m_reader.response());
@@ -76,7 +77,7 @@
         }
         m_unusable = true;
         if (match == match::unidentified) {
-            finish_exchange({false, true, false, {}, "response without a request id"});
+            finish_exchange({false, true, peer_failure::none, {}, "response without a request id"});
             return;
         }
         // A late response to an earlier request. The expected one may still follow, but the connection is not used
@@ -90,7 +91,7 @@
 {
     // Bytes after the response, or a response before the complete request was sent, make the connection unusable.
     if (!rest.empty() || !m_reader.keep_alive() || m_stream->unsent() > 0) m_unusable = true;
-    exchange_result result{true, true, false, std::move(m_reader.response()), ""};
+    exchange_result result{true, true, peer_failure::none, std::move(m_reader.response()), ""};
     update_keep_alive_deadline(result.response);
     finish_exchange(std::move(result));
 }
@@ -130,8 +131,10 @@
                          : how == stream_end::closed ? "closed without a response"
                          : m_used                    ? "kept connection reset"
                                                      : "reset without a response";
-    bool const closed = sent && how == stream_end::closed && !m_reader.started();
-    finish_exchange({false, sent, closed, {}, detail});
+    auto const failure = !sent                                             ? peer_failure::none
+                         : m_reader.started() || how == stream_end::closed ? peer_failure::broken_off
+                                                                           : peer_failure::reset;
+    finish_exchange({false, sent, failure, {}, detail});
 }
 
 void client_connection::finish_exchange(exchange_result result)
--- a/src/gateway/store_channel.cpp
+++ b/src/gateway/store_channel.cpp
@@ -42,7 +42,7 @@
             return;
         }
         m_connection.reset(); // After a lost response nothing more arrives on this connection.
-        finish(number, {false, true, false, {}, "no answer in time"}, done);
+        finish(number, {false, true, peer_failure::none, {}, "no answer in time"}, done);
     });
 }
 
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -54,6 +54,7 @@
     case attempt_status::not_sent: return "not_sent";
     case attempt_status::lost: return "lost";
     case attempt_status::disconnected: return "disconnected";
+    case attempt_status::reset: return "reset";
     }
     return "unknown";
 }
--- a/src/trace/trace.cpp
+++ b/src/trace/trace.cpp
@@ -26,7 +26,8 @@
 std::string describe_failure(std::string const& failure)
 {
     if (failure == "not_sent") return "backend servers could not be connected to";
-    if (failure == "disconnected") return "backend servers closed connections without an answer";
+    if (failure == "disconnected") return "backend servers closed connections without a whole answer";
+    if (failure == "reset") return "backend servers reset connections without an answer";
     if (failure == "lost") return "backend servers took requests and gave no usable answer";
     if (failure == "not_executed") return "backend servers refused for lack of room";
     if (failure == "wrong_server") return "another backend server has the address";
--- a/tests/dispatcher_fixture.hpp
+++ b/tests/dispatcher_fixture.hpp
@@ -94,7 +94,7 @@
     /** Finishes attempt @p index without a response. */
     void finish_attempt(std::size_t index, attempt_status how)
     {
-        requests->on_result(sent[index].id, {how, {}, "test"}, now);
+        requests->on_result(sent[index].id, {how, {}, "test", connection_id(), sent[index].needs_new_connection}, now);
     }
 
     /** Finishes attempt @p index with a response. */
--- a/tests/test_crash_suspects.cpp
+++ b/tests/test_crash_suspects.cpp
@@ -18,10 +18,11 @@
 }
 
 /** Crashes every backend server that runs the request, until a response is sent. */
-void crash_all(dispatcher_fixture& fleet, request_key key, std::size_t from)
+void crash_all(dispatcher_fixture& fleet, request_key key, std::size_t from,
+               attempt_status form = attempt_status::disconnected)
 {
     for (auto i = from; i < fleet.sent.size() && !fleet.has_response(key); ++i) {
-        if (!fleet.canceled.contains(fleet.sent[i].id.value())) fleet.finish_attempt(i, attempt_status::disconnected);
+        if (!fleet.canceled.contains(fleet.sent[i].id.value())) fleet.finish_attempt(i, form);
         fleet.advance(20ms);
     }
 }
@@ -219,3 +220,57 @@
     crash_all(fleet, changed, later);
     CHECK(fleet.finished.back().reason == std::string("crashed_servers"));
 }
+
+TEST_CASE("crash suspects: crashes that reset connections add up over repetitions of a request with one shard")
+{
+    for (char const* path : {"/plain/x", "/write/x"}) {
+        CAPTURE(path);
+        dispatcher_fixture fleet;
+        int repetitions = 0;
+        for (; repetitions < 10; ++repetitions) {
+            auto const before = fleet.sent.size();
+            auto const key = fleet.start(path, "id");
+            if (fleet.has_response(key)) {
+                CHECK(fleet.response_to(key).status == 503);
+                break;
+            }
+            crash_all(fleet, key, before, attempt_status::reset);
+            CHECK(fleet.response_to(key).status == 502);
+        }
+        CHECK(fleet.sent.size() <= 4);
+        CHECK(repetitions <= 3);
+    }
+}
+
+TEST_CASE("crash suspects: a query whose attempts all end with resets is tried once more at one server")
+{
+    dispatcher_fixture fleet;
+    auto const first = fleet.start("/gather/x", "id1");
+    crash_all(fleet, first, 0, attempt_status::reset);
+    CHECK(fleet.response_to(first).status == 502);
+    auto const before = fleet.sent.size();
+    CHECK(before <= 4 + 2); // One attempt per shard, and two more, one after the other.
+    crash_all(fleet, fleet.start("/gather/x", "id2"), before, attempt_status::reset);
+    CHECK(fleet.sent.size() == before + 1);
+    CHECK(fleet.finished.back().reason == std::string("crashed_servers"));
+    CHECK(fleet.response_to(fleet.start("/gather/x", "id3")).status == 503);
+}
+
+TEST_CASE("crash suspects: a query on dropped connections waits for one response and is sent again on new connections")
+{
+    dispatcher_fixture fleet;
+    auto const key = fleet.start("/gather/x", "id1");
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.finish_attempt(i, attempt_status::reset);
+    CHECK(fleet.canceled.empty());
+    REQUIRE(fleet.sent.size() == 4);
+    fleet.respond(3, 200, std::string(16, 'a'));
+    REQUIRE(fleet.sent.size() == 7);
+    for (std::size_t i = 4; i < 7; ++i) {
+        CHECK(fleet.sent[i].needs_new_connection);
+        fleet.respond(i, 200, std::string(16, 'a'));
+    }
+    CHECK(fleet.response_to(key).status == 200);
+    CHECK(fleet.response_to(key).header("missing") == "0");
+    CHECK(fleet.quarantine.status(fleet.finished.back().digest, fleet.now) == quarantine_status::clear);
+}
