--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -209,6 +209,9 @@
     std::function<void(attempt_id)> cancel;                  ///< Cancels an attempt; a later result is ignored.
     std::function<void(request_key, http_response)> respond; ///< Sends the response to a caller.
     std::function<void(request_summary const&)> on_finished; ///< Called when a request has finished.
+    /** Claims the only trial in the fleet of a request that crashes backend servers; dispatcher::on_trial_claimed()
+     *  follows, not during this call. May be empty: then each VM tries it on its own. */
+    std::function<void(request_digest const&)> claim_trial;
     /** Called when an attempt has finished. May be empty. */
     std::function<void(backend_server const&, bool failed)> on_attempt_finished;
     /** Called with the latency of an attempt that was answered, or that was canceled after more than the usual latency
@@ -322,6 +325,9 @@
     /** The quota of a customer was decided: decides again about its requests that wait. @param name customer.
      *  @param now current time. */
     void on_quota_decided(customer_name const& name, time_point now);
+    /** The trial of a request was claimed: starts the request that waits for it, or rejects it. @param digest request.
+     *  @param granted whether no other VM has claimed it. @param now current time. */
+    void on_trial_claimed(request_digest const& digest, bool granted, time_point now);
     /** Runs all timers that are due. @param now current time. */
     void on_timer(time_point now);
     /** @return when on_timer() must be called next, or nothing if no timer is set. */
--- a/include/cornelspring/feed.hpp
+++ b/include/cornelspring/feed.hpp
@@ -62,10 +62,12 @@
         watch;                                                          ///< Wait for changes.
     std::function<http_request(store_position after)> freshness;        ///< Check how current the source is.
     std::function<http_request(std::vector<store_write> const&)> write; ///< Write keys.
-    std::function<http_request(milliseconds ttl)> grant_lease;          ///< Create a lease.
-    std::function<http_request(std::int64_t lease)> renew_lease;        ///< Renew a lease.
-    std::function<http_request(std::int64_t lease)> revoke_lease;       ///< End a lease.
-    std::function<store_batch(http_response const&)> parse_batch;       ///< Reads a response to read, watch, freshness.
+    /** Create a key if it does not exist. A response with status 200 says that it did not. */
+    std::function<http_request(store_write const&)> create;
+    std::function<http_request(milliseconds ttl)> grant_lease;    ///< Create a lease.
+    std::function<http_request(std::int64_t lease)> renew_lease;  ///< Renew a lease.
+    std::function<http_request(std::int64_t lease)> revoke_lease; ///< End a lease.
+    std::function<store_batch(http_response const&)> parse_batch; ///< Reads a response to read, watch, freshness.
     /** Removes API keys from an item, as parse_batch does. Applied to the items of peer gateways, since those of an
      *  older release send keys. */
     std::function<void(store_item&)> remove_keys;
--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -70,9 +70,13 @@
     /** Number of crashes at which a request counts as their cause. Fewer can be chance: it may be in flight at backend
      *  servers that fail for another reason. */
     int crash_threshold = 3;
-    milliseconds first_duration{60000}; ///< Length of the first quarantine; each further one is twice as long.
-    milliseconds max_duration{600000};  ///< Longest quarantine; also how long observations of a request are kept.
-    std::size_t max_requests = 256;     ///< Most requests remembered; the oldest are evicted first.
+    /** Lengths of the first quarantine of a request, of the second one, and so on; the last is that of all further
+     * ones. A request that crashed backend servers in each trial is not tried again on the same day. */
+    std::vector<milliseconds> durations{std::chrono::minutes(1), std::chrono::minutes(10), std::chrono::hours(24)};
+    /** How long crashes of a request are remembered, from the last one or from the end of its quarantine. */
+    milliseconds memory{std::chrono::hours(24)};
+    milliseconds answer_memory{std::chrono::minutes(10)}; ///< How long it is published that a request was answered.
+    std::size_t max_requests = 256;                       ///< Most requests remembered; the oldest are evicted first.
 };
 
 /**
@@ -110,6 +114,9 @@
      * crashes crashes that are not recorded here yet. */
     bool reaches_crash_threshold(request_digest const& digest, int crashes) const;
 
+    /** @return whether a suspect has crashed enough backend servers that all VMs together may only try it once at a
+     *  time. @param digest request. */
+    bool needs_claim(request_digest const& digest) const;
     /** @return whether this VM has sent a suspect to a backend server and waits for the outcome. @param digest request.
      */
     bool on_trial(request_digest const& digest) const;
@@ -155,8 +162,12 @@
         /** @return its status. @param now current time. */
         quarantine_status status(time_point now) const;
     };
-    /** @return the record of a request, created when absent, with its expiry set from @p now. */
-    known_request& touch(request_digest const& digest, time_point now);
+    /** @return the record of a request, created when absent. @param now current time. */
+    known_request& find_or_add(request_digest const& digest, time_point now);
+    /** Sets the expiry of a record from @p now and the end of its quarantine. */
+    void renew(known_request& request, time_point now) const;
+    /** @return the length of the quarantine that follows @p quarantines earlier ones. */
+    milliseconds next_duration(int quarantines) const;
     /** Drops expired records, and the oldest one when the limit is reached. */
     void evict(time_point now);
     /** Applies the quarantine of a record. */
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -200,6 +200,11 @@
         m_impl->hooks.on_finished(summary);
         return;
     }
+    if (auto waiter = m_impl->stop_awaiting_trial(key)) {
+        waiter->summary.reason = "caller_gone";
+        m_impl->hooks.on_finished(waiter->summary);
+        return;
+    }
     auto const found = m_impl->requests.find(key.value());
     if (found == m_impl->requests.end()) return;
     auto const request = std::move(found->second);
@@ -228,6 +233,12 @@
     m_impl->on_quota_decided(name, now);
 }
 
+void dispatcher::on_trial_claimed(request_digest const& digest, bool granted, time_point now)
+{
+    m_impl->finished.clear();
+    m_impl->on_trial_claimed(digest, granted, now);
+}
+
 void dispatcher::on_timer(time_point now)
 {
     m_impl->finished.clear();
@@ -244,7 +255,10 @@
     return next;
 }
 
-std::size_t dispatcher::open_requests() const { return m_impl->requests.size() + m_impl->awaiting_quota.size(); }
+std::size_t dispatcher::open_requests() const
+{
+    return m_impl->requests.size() + m_impl->awaiting_quota.size() + m_impl->awaiting_trial.size();
+}
 
 void dispatcher::set_vm_count(std::size_t vms) { m_impl->vms = std::max<std::size_t>(vms, 1); }
 
@@ -265,6 +279,10 @@
         m_impl->quotas.stop_waiting(waiter.summary.customer);
         m_impl->respond_immediately(request_key(key), std::move(waiter.summary), std::move(response), "stopping");
     }
+    for (auto& [digest, waiter] : std::exchange(m_impl->awaiting_trial, {})) {
+        auto response = m_impl->rejection("this gateway stops", m_impl->options.retry_after_s);
+        m_impl->respond_immediately(waiter.key, std::move(waiter.summary), std::move(response), "stopping");
+    }
     std::vector<request_key> keys;
     for (auto const& [key, request] : m_impl->requests)
         keys.emplace_back(key);
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -44,7 +44,7 @@
 }
 
 void dispatcher::impl::start(request_key key, http_request message, request_timing timing, caller_address caller,
-                             time_point now)
+                             time_point now, bool trial_claimed)
 {
     auto const& config = configs.current();
     request_summary summary;
@@ -86,17 +86,7 @@
                             "no_time");
         return;
     }
-    auto const quarantine_state = check_quarantine(request, now);
-    if (quarantine_state == quarantine_status::quarantined) {
-        respond_immediately(key, request.summary, quarantine_rejection(request, now), "quarantined");
-        return;
-    }
-    bool const suspect = quarantine_state == quarantine_status::suspect;
-    if (suspect && quarantine.on_trial(request.summary.digest)) {
-        auto const text = "this request is being tried at one backend server, after others crashed";
-        respond_immediately(key, request.summary, rejection(text, options.retry_after_s), "on_trial");
-        return;
-    }
+    if (!passes_quarantine(request, timing, trial_claimed, now)) return;
     if (!within_quota(request, timing, now)) return;
     add_shards(request, now);
     if (double const wait = blocked_wait_s(request, now); wait > 0) {
@@ -112,7 +102,7 @@
         return;
     }
     request.head_bytes = head_bytes(request);
-    if (suspect) start_trial(request);
+    if (request.on_trial) start_trial(request);
     requests.emplace(key.value(), std::move(made));
     send_first_attempts(request, now);
     schedule_next(request, now);
--- a/src/dispatch/dispatcher_crash_suspects.cpp
+++ b/src/dispatch/dispatcher_crash_suspects.cpp
@@ -46,6 +46,57 @@
     return quarantine_state;
 }
 
+bool dispatcher::impl::passes_quarantine(request_state& request, request_timing timing, bool claimed, time_point now)
+{
+    auto const state = check_quarantine(request, now);
+    if (state == quarantine_status::clear) return true;
+    auto const& digest = request.summary.digest;
+    if (state == quarantine_status::quarantined) {
+        respond_immediately(request.key, request.summary, quarantine_rejection(request, now), "quarantined");
+        return false;
+    }
+    if (quarantine.on_trial(digest)) {
+        respond_immediately(request.key, request.summary, on_trial_rejection(), "on_trial");
+        return false;
+    }
+    request.on_trial = true;
+    if (claimed || !hooks.claim_trial || !quarantine.needs_claim(digest)) return true;
+    quarantine.start_trial(digest);
+    auto const waiter = awaiting_trial.insert_or_assign(
+        digest.value(), trial_waiter{request.key, std::move(request.message), timing, request.summary, now});
+    hooks.claim_trial(waiter.first->second.summary.digest);
+    return false;
+}
+
+void dispatcher::impl::on_trial_claimed(request_digest const& digest, bool granted, time_point now)
+{
+    quarantine.finish_trial(digest);
+    auto found = awaiting_trial.extract(digest.value());
+    if (!found) return;
+    auto& waiter = found.mapped();
+    if (!granted) {
+        respond_immediately(waiter.key, std::move(waiter.summary), on_trial_rejection(), "on_trial");
+        return;
+    }
+    auto const waited = now - waiter.since;
+    waiter.timing.max_unread += waited;
+    waiter.timing.round_trip += waited;
+    start(waiter.key, std::move(waiter.message), waiter.timing, std::move(waiter.summary.caller), now, true);
+}
+
+std::optional<trial_waiter> dispatcher::impl::stop_awaiting_trial(request_key key)
+{
+    auto const found = std::find_if(awaiting_trial.begin(), awaiting_trial.end(),
+                                    [key](auto const& each) { return each.second.key == key; });
+    if (found == awaiting_trial.end()) return std::nullopt;
+    return std::move(awaiting_trial.extract(found).mapped());
+}
+
+http_response dispatcher::impl::on_trial_rejection()
+{
+    return rejection("this request is being tried at one backend server, after others crashed", options.retry_after_s);
+}
+
 http_response dispatcher::impl::quarantine_rejection(request_state const& request, time_point now) const
 {
     auto response = local_response(503, "this request has crashed backend servers");
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -34,6 +34,7 @@
     std::uint64_t last_attempt = 0;               ///< Last attempt id used.
     std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> requests; ///< Open requests by key.
     std::map<std::uint64_t, quota_waiter> awaiting_quota;     ///< Requests that wait for a token, by key.
+    std::map<std::string, trial_waiter> awaiting_trial;       ///< Requests that wait for a trial, by digest.
     std::unordered_map<std::uint64_t, open_attempt> attempts; ///< Attempts in flight by id.
     std::set<std::pair<time_point, std::uint64_t>> due;       ///< Timers of requests, by time.
     std::deque<std::pair<time_point, attempt_id>> observed;   ///< Attempts that run on for measurement, by cancel time.
@@ -77,7 +78,17 @@
     }
 
     /** Handles a request: finds its route, sets deadline and shards, checks admission, sends the first attempts. */
-    void start(request_key key, http_request message, request_timing timing, caller_address caller, time_point now);
+    void start(request_key key, http_request message, request_timing timing, caller_address caller, time_point now,
+               bool trial_claimed = false);
+    /** Decides whether a request may be sent in view of the crashes that are known of it. @return whether it may
+     *  proceed, or else it was rejected or waits in awaiting_trial. @param claimed its trial was claimed. */
+    bool passes_quarantine(request_state& request, request_timing timing, bool claimed, time_point now);
+    /** The claim of a trial was decided. */
+    void on_trial_claimed(request_digest const& digest, bool granted, time_point now);
+    /** Removes the request @p key from those that wait for a trial. @return it, or nothing if it does not wait. */
+    std::optional<trial_waiter> stop_awaiting_trial(request_key key);
+    /** @return the response to a request whose like is being tried. */
+    http_response on_trial_rejection();
     /** Finds the customer of a request by its API key. @return why the request must be rejected; null when it may
      *  proceed. */
     char const* authenticate(request_state& request) const;
--- a/src/dispatch/request_state.hpp
+++ b/src/dispatch/request_state.hpp
@@ -58,6 +58,15 @@
     time_point since;        ///< When it began to wait.
 };
 
+/** A request that waits until this VM may try it, as it has crashed backend servers. */
+struct trial_waiter {
+    request_key key;         ///< Key.
+    http_request message;    ///< Request as received.
+    request_timing timing;   ///< Its time outside the dispatcher.
+    request_summary summary; ///< Summary so far.
+    time_point since;        ///< When it began to wait.
+};
+
 /** A request without a response. */
 struct request_state {
     request_key key;                              ///< Key.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,13 @@
         if (shared_load.in_force && server.distance != proximity::other_region)
             failures.on_latency(server.registration.id.value(), took_ms, usual_ms, loop.now());
     };
+    claims =
+        std::make_unique<trial_claims>(loop, settings.store, codec, [this](request_digest const& digest, bool granted) {
+            log.trial_claim(digest, granted);
+            requests->on_trial_claimed(digest, granted, loop.now());
+            wake_dispatcher();
+        });
+    hooks.claim_trial = [this](request_digest const& digest) { claims->claim(digest); };
     requests = std::make_unique<dispatcher>(settings.dispatch, configs, registry, placement, quarantine, quotas,
                                             std::move(hooks), random());
     requests->set_vm_count(min_vms);
--- a/src/gateway/gateway_impl.hpp
+++ b/src/gateway/gateway_impl.hpp
@@ -8,6 +8,7 @@
 #include "gateway_metrics.hpp"
 #include "peer_access.hpp"
 #include "quota_calls.hpp"
+#include "trial_claims.hpp"
 
 namespace cornelspring {
 
@@ -15,7 +16,7 @@
 inline constexpr char const* member_prefix = "gateways/";
 /** Prefix of the store keys under which gateways share records of requests that crash backend servers. */
 inline constexpr char const* crash_records_prefix = "crash-records/";
-/** Time to live of these records after their gateway has stopped: as long as the longest quarantine. */
+/** Time to live of these records after their gateway has stopped: the longest that the store grants. */
 inline constexpr milliseconds crash_records_ttl{600000};
 /** After an outage or a restoration of the store, registrations that lapsed or were lost with it have this long to be
  *  written again before they count as removed. */
@@ -63,6 +64,7 @@
     std::unique_ptr<demand_calls> demand_reports;      ///< Fleet-wide admission control; null if it is switched off.
     std::unique_ptr<registration> member_registration; ///< This VM's registration.
     std::unique_ptr<registration> crash_registration;  ///< This VM's records of requests that crash servers.
+    std::unique_ptr<trial_claims> claims;              ///< Claims of trials of requests that crash servers.
     bool crash_records_pending = false;                ///< A write of these records is scheduled.
     bool has_own_crash_records = false;                ///< This process has recorded crashes itself.
     std::mt19937_64 random{std::random_device{}()};    ///< Random order of addresses.
--- a/src/gateway/gateway_log.cpp
+++ b/src/gateway/gateway_log.cpp
@@ -309,6 +309,12 @@
            {"source", change.source.empty() ? "here" : change.source}});
 }
 
+void gateway_log::trial_claim(request_digest const& digest, bool granted)
+{
+    if (!allowed(m_quarantine, quarantine_lines_per_s)) return;
+    write({{"event", "trial_claim"}, {"digest", digest.value()}, {"granted", granted}});
+}
+
 void gateway_log::quota_keeper(std::string const& keeper, char const* reason)
 {
     if (!allowed(m_sources, source_lines_per_s)) return;
--- a/src/gateway/gateway_log.hpp
+++ b/src/gateway/gateway_log.hpp
@@ -79,6 +79,9 @@
     /** Logs a change of the quarantine state of a request. @param change the change. @param remaining time until the
      *  quarantine of the request ends. */
     void quarantine(request_quarantine::change const& change, milliseconds remaining);
+    /** Logs whether this VM may try a request that crashes backend servers. @param digest request. @param granted
+     *  whether no other VM has claimed its trial. */
+    void trial_claim(request_digest const& digest, bool granted);
     /** Logs that an account of a quota has moved. @param part the account. @param change how. @param state_age time
      * since the local copy was last confirmed. */
     void quota_account(quota_part const& part, char const* change, milliseconds state_age);
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -60,6 +60,8 @@
     return known + crashes >= m_options.crash_threshold;
 }
 
+bool request_quarantine::needs_claim(request_digest const& digest) const { return reaches_crash_threshold(digest, 0); }
+
 bool request_quarantine::on_trial(request_digest const& digest) const
 {
     auto const found = m_requests.find(digest.value());
@@ -80,21 +82,21 @@
 
 void request_quarantine::on_crashes(request_digest const& digest, int crashes, time_point now)
 {
-    auto& request = touch(digest, now);
+    auto& request = find_or_add(digest, now);
     request.own_crashes += crashes;
     request.answered = false;
+    renew(request, now);
     report(digest, {}, true, now);
 }
 
 void request_quarantine::start_quarantine(request_digest const& digest, time_point now)
 {
-    auto& request = touch(digest, now);
-    auto length = m_options.first_duration;
-    for (int i = 0; i < request.quarantines && length < m_options.max_duration; ++i)
-        length *= 2;
+    auto& request = find_or_add(digest, now);
+    auto const end = now + next_duration(request.quarantines);
     ++request.quarantines;
     request.quarantined_here = true;
-    request.quarantined_until = std::max(request.quarantined_until, now + std::min(length, m_options.max_duration));
+    request.quarantined_until = std::max(request.quarantined_until, end);
+    renew(request, now);
     report(digest, {}, true, now);
 }
 
@@ -104,7 +106,7 @@
     if (found == m_requests.end() || found->second.status(now) == quarantine_status::clear) return;
     found->second.clear();
     found->second.answered = true;
-    found->second.expires_at = now + m_options.max_duration;
+    renew(found->second, now);
     report(digest, {}, true, now);
 }
 
@@ -136,9 +138,10 @@
     for (auto const& [digest, record] : next) {
         auto const before = status(record.digest, now);
         if (record.answered && before == quarantine_status::clear) continue;
-        auto& request = touch(record.digest, now);
+        auto& request = find_or_add(record.digest, now);
         request.peer_crashes[source] = record.crashes;
         extend_quarantine(request, record, now);
+        renew(request, now);
         bool const cleared = record.answered && request.clear();
         bool const response_outdated =
             record.quarantine_left > milliseconds(0) && std::exchange(request.answered, false);
@@ -149,35 +152,47 @@
 void request_quarantine::restore_own_records(std::vector<crash_record> const& records, time_point now)
 {
     for (auto const& record : records) {
-        auto& request = touch(record.digest, now);
+        auto& request = find_or_add(record.digest, now);
+        renew(request, now);
         if (request.own_crashes > 0 || record.answered) continue;
         request.own_crashes = record.crashes;
         request.quarantined_here = record.quarantines > 0;
         extend_quarantine(request, record, now);
+        renew(request, now);
         report(record.digest, {}, true, now);
     }
 }
 
 void request_quarantine::extend_quarantine(known_request& request, crash_record const& record, time_point now) const
 {
-    auto const left = std::min(record.quarantine_left, m_options.max_duration);
+    auto const left = std::min(record.quarantine_left, m_options.durations.back());
     request.quarantined_until = std::max(request.quarantined_until, now + left);
     request.quarantines = std::max(request.quarantines, record.quarantines);
 }
 
-request_quarantine::known_request& request_quarantine::touch(request_digest const& digest, time_point now)
+request_quarantine::known_request& request_quarantine::find_or_add(request_digest const& digest, time_point now)
 {
     if (!m_requests.contains(digest.value())) evict(now);
-    auto& request = m_requests[digest.value()];
-    request.expires_at = now + m_options.max_duration;
-    return request;
+    return m_requests[digest.value()];
+}
+
+void request_quarantine::renew(known_request& request, time_point now) const
+{
+    auto const memory = request.answered ? m_options.answer_memory : m_options.memory;
+    request.expires_at = std::max(now, request.quarantined_until) + memory;
+}
+
+milliseconds request_quarantine::next_duration(int quarantines) const
+{
+    auto const& durations = m_options.durations;
+    return durations[std::min(static_cast<std::size_t>(quarantines), durations.size() - 1)];
 }
 
 void request_quarantine::evict(time_point now)
 {
     std::erase_if(m_requests, [now](auto const& each) {
         auto const& request = each.second;
-        return !request.on_trial && now >= std::max(request.expires_at, request.quarantined_until);
+        return !request.on_trial && now >= request.expires_at;
     });
     if (m_requests.size() < m_options.max_requests) return;
     // A request on trial is evicted last: its outcome arrives soon.
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 using namespace cornelspring;
 
 namespace {
@@ -55,21 +57,77 @@
     CHECK(quarantine.status(crashing, begin) == quarantine_status::clear);
 }
 
-TEST_CASE("quarantine: after it the request is tried again, and the next quarantine is twice as long")
+TEST_CASE("quarantine: after it the request is tried again, and each further quarantine is longer, up to a day")
 {
-    request_quarantine quarantine;
-    auto const first = quarantine_options{}.first_duration;
+    quarantine_options const options;
+    request_quarantine quarantine(options);
+    auto const& durations = options.durations;
+    REQUIRE(durations.back() == std::chrono::hours(24));
     quarantine.on_crashes(crashing, 3, begin);
-    quarantine.start_quarantine(crashing, begin);
-    CHECK(quarantine.status(crashing, begin + first - milliseconds(1)) == quarantine_status::quarantined);
-    CHECK(quarantine.status(crashing, begin + first) == quarantine_status::suspect);
-    quarantine.on_crashes(crashing, 1, begin + first);
-    quarantine.start_quarantine(crashing, begin + first);
-    CHECK(quarantine.quarantine_left(crashing, begin + first) == 2 * first);
+    auto now = begin;
+    for (auto const duration : durations) {
+        quarantine.start_quarantine(crashing, now);
+        CHECK(quarantine.quarantine_left(crashing, now) == duration);
+        CHECK(quarantine.status(crashing, now + duration - milliseconds(1)) == quarantine_status::quarantined);
+        CHECK(quarantine.status(crashing, now + duration) == quarantine_status::suspect);
+        now += duration;
+        quarantine.on_crashes(crashing, 1, now);
+    }
     for (int i = 0; i < 20; ++i)
-        quarantine.start_quarantine(crashing, begin + first);
-    CHECK(quarantine.quarantine_left(crashing, begin + first) == quarantine_options{}.max_duration);
-    CHECK(quarantine.status(crashing, begin + std::chrono::hours(1)) == quarantine_status::clear);
+        quarantine.start_quarantine(crashing, now);
+    CHECK(quarantine.quarantine_left(crashing, now) == durations.back());
+    CHECK(quarantine.own_records(now).size() == 1);
+    auto const end = now + durations.back();
+    CHECK(quarantine.status(crashing, end + options.memory - milliseconds(1)) == quarantine_status::suspect);
+    CHECK(quarantine.status(crashing, end + options.memory) == quarantine_status::clear);
+}
+
+TEST_CASE("quarantine: a request that crashes backend servers all day reaches them at most three more times")
+{
+    constexpr std::size_t vms = 12;
+    constexpr milliseconds publish_delay{300};
+    constexpr milliseconds caller_retry_delay{50};
+    for (auto const gap : {milliseconds(700), milliseconds(2300), milliseconds(660000)}) {
+        CAPTURE(gap.count());
+        std::vector<request_quarantine> fleet(vms);
+        time_point claimed_until = begin;
+        std::multimap<time_point, std::size_t> arrivals;
+        std::multimap<time_point, std::size_t> publications;
+        std::mt19937 random(1);
+        for (auto at = begin; at < begin + std::chrono::hours(20); at += gap) {
+            auto const first = random() % vms;
+            arrivals.emplace(at, first);
+            arrivals.emplace(at + caller_retry_delay, (first + 1) % vms);
+        }
+        int crashes = 0;
+        int late = 0;
+        std::optional<time_point> third_crash;
+        for (auto const& [now, at_vm] : arrivals) {
+            while (!publications.empty() && publications.begin()->first <= now) {
+                auto const [when, source] = *publications.begin();
+                publications.erase(publications.begin());
+                for (std::size_t i = 0; i < vms; ++i) {
+                    if (i != source)
+                        fleet[i].apply_peer_records(std::to_string(source), fleet[source].own_records(when), when);
+                }
+            }
+            auto& quarantine = fleet[at_vm];
+            auto const status = quarantine.status(crashing, now);
+            if (status == quarantine_status::quarantined) continue;
+            if (status == quarantine_status::suspect && quarantine.needs_claim(crashing)) {
+                if (now < claimed_until) continue;
+                claimed_until = now + std::chrono::seconds(10);
+            }
+            quarantine.on_crashes(crashing, 1, now);
+            if (status == quarantine_status::suspect && quarantine.reaches_crash_threshold(crashing, 0))
+                quarantine.start_quarantine(crashing, now);
+            publications.emplace(now + publish_delay, at_vm);
+            if (third_crash && now > *third_crash + std::chrono::seconds(5)) ++late;
+            if (++crashes == quarantine_options{}.crash_threshold) third_crash = now;
+        }
+        CHECK(crashes >= 3);
+        CHECK(late <= 3);
+    }
 }
 
 TEST_CASE("quarantine: the crashes observed by all gateways are added up, and a quarantine applies at all of them")
@@ -84,7 +142,7 @@
     this_vm.start_quarantine(crashing, begin);
     peer.apply_peer_records("here", decode_crash_records(encode_crash_records(this_vm.own_records(begin))), begin);
     CHECK(peer.status(crashing, begin) == quarantine_status::quarantined);
-    CHECK(peer.quarantine_left(crashing, begin) == quarantine_options{}.first_duration);
+    CHECK(peer.quarantine_left(crashing, begin) == quarantine_options{}.durations.front());
     // Each gateway publishes only its own observations, so that no crash is counted twice.
     CHECK(peer.own_records(begin).size() == 1);
     CHECK(peer.own_records(begin)[0].crashes == 1);
