Crashing requests: a request is recognized whichever key of its customer it has

Cause: the digest covered the header 'authorization', taken for what a server sees of its caller. Servers receive the customer's name, never the key, and a customer may have several keys; versions of the configuration replace them.

Change: the digest covers the customer. Where callers have no keys, the header is forwarded and counts as before; a header that is not forwarded does not count. The test of digests checks the caller as an argument, and a new one the header.

Why it holds: all that a server receives of the caller is in the digest, and nothing else of it.

--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -17,12 +17,17 @@
 using request_digest = strong_id<struct request_digest_tag, std::string>;
 
 /**
- * @return the digest of method, host, path, body and the header "authorization", which identifies the caller. It leaves
- * out the caller's address, since no backend server sees it and the same caller may use another one, and headers that
- * differ between repetitions.
- * @param request request.
+ * The part of a request that names its caller to backend servers: the customer, or else the header "authorization". A
+ * key is not part of it, since backend servers do not receive keys and a customer may have several.
  */
-request_digest digest_of(http_request const& request);
+using caller_identity = strong_id<struct caller_identity_tag, std::string>;
+
+/**
+ * @return the digest of method, host, path, body and caller. It leaves out the caller's address, since no backend
+ * server sees it and the same caller may use another one, and headers that differ between repetitions.
+ * @param request request. @param caller its caller.
+ */
+request_digest digest_of(http_request const& request, caller_identity const& caller);
 
 /**
  * Remembers which requests backend servers responded to recently. This protects a query that many callers send: when
@@ -31,11 +36,12 @@
  */
 class recent_responses {
 public:
-    /** Records a response to @p request. @param request the request. @param now current time. */
-    void add(http_request const& request, time_point now);
-    /** @return whether there was a response to @p request recently. @param request the request. @param now current
-     * time. */
-    bool contains(http_request const& request, time_point now) const;
+    /** Records a response to @p request. @param request the request. @param caller its caller. @param now current
+     *  time. */
+    void add(http_request const& request, caller_identity const& caller, time_point now);
+    /** @return whether there was a response to @p request recently. @param request the request. @param caller its
+     *  caller. @param now current time. */
+    bool contains(http_request const& request, caller_identity const& caller, time_point now) const;
 
 private:
     /** A request that got a response. */
--- a/src/dispatch/dispatcher_crash_suspects.cpp
+++ b/src/dispatch/dispatcher_crash_suspects.cpp
@@ -11,6 +11,14 @@
 /** Maximum length of a request's method, host and path in the log. */
 constexpr std::size_t max_logged_line_length = 120;
 
+/** @return what names the caller of a request to backend servers. */
+caller_identity identity_of(request_state const& request)
+{
+    if (request.by != nullptr) return caller_identity("customer " + request.by->name.value());
+    if (request.config->customers().keys_required()) return {}; // The header is not forwarded.
+    return caller_identity(request.message.header(std::string(authorization_header)));
+}
+
 /** @return whether a shard still needs a response. */
 bool needs_response(shard_state const& shard) { return !shard.done && !shard.failed; }
 
@@ -27,7 +35,7 @@
     auto& summary = request.summary;
     if (!summary.digest.value().empty()) return;
     auto const& message = request.message;
-    summary.digest = digest_of(message);
+    summary.digest = digest_of(message, identity_of(request));
     summary.request_line =
         (message.method + " " + message.header("host") + message.path).substr(0, max_logged_line_length);
 }
@@ -35,10 +43,10 @@
 quarantine_status dispatcher::impl::check_quarantine(request_state& request, time_point now)
 {
     if (quarantine.empty()) return quarantine_status::clear;
-    auto const digest = digest_of(request.message);
+    auto const digest = digest_of(request.message, identity_of(request));
     auto const quarantine_state = quarantine.status(digest, now);
     if (quarantine_state == quarantine_status::clear) return quarantine_state;
-    if (safe_requests.contains(request.message, now)) {
+    if (safe_requests.contains(request.message, identity_of(request), now)) {
         quarantine.on_response(digest, now);
         return quarantine_status::clear;
     }
@@ -158,7 +166,8 @@
     if (request.usable_received) return true;
     set_digest(request);
     bool const convicted = quarantine.reaches_crash_threshold(request.summary.digest, request.summary.disconnects);
-    if (request.sequential_runs > 0 && convicted && !safe_requests.contains(request.message, now)) {
+    if (request.sequential_runs > 0 && convicted &&
+        !safe_requests.contains(request.message, identity_of(request), now)) {
         finish(request.key, failure_response(request, false), "crashed_servers", now);
         return false;
     }
@@ -262,14 +271,15 @@
     auto const& summary = request.summary;
     if (request.on_trial) quarantine.finish_trial(summary.digest);
     if (request.usable_received) {
-        safe_requests.add(request.message, now);
+        safe_requests.add(request.message, identity_of(request), now);
         // Peer gateways may have started to suspect the request while it was in flight.
-        if (!quarantine.empty()) quarantine.on_response(digest_of(request.message), now);
+        if (!quarantine.empty()) quarantine.on_response(digest_of(request.message, identity_of(request)), now);
     }
     // Resets that may have other reasons count as one crash, so that a repetition of the request goes on trial.
     int const crashes = summary.disconnects > 0 ? summary.disconnects : std::min(request.resets, 1);
     bool const no_evidence = crashes == 0 && !request.on_trial;
-    if (request.usable_received || no_evidence || safe_requests.contains(request.message, now)) return;
+    if (request.usable_received || no_evidence || safe_requests.contains(request.message, identity_of(request), now))
+        return;
     set_digest(request);
     if (crashes > 0) quarantine.on_crashes(summary.digest, crashes, now);
     if (request.sequential_runs > 0 && quarantine.reaches_crash_threshold(summary.digest, 0)) {
--- a/src/quarantine/request_digest.cpp
+++ b/src/quarantine/request_digest.cpp
@@ -21,20 +21,19 @@
 }
 
 /** @return the content of the request that its digest covers, as one text. */
-std::string content_of(http_request const& request)
+std::string content_of(http_request const& request, caller_identity const& caller)
 {
     std::string text;
-    for (auto const& part :
-         {request.method, request.header("host"), request.path, request.body, request.header("authorization")})
+    for (auto const& part : {request.method, request.header("host"), request.path, request.body, caller.value()})
         append_part(text, part);
     return text;
 }
 
 } // namespace
 
-request_digest digest_of(http_request const& request)
+request_digest digest_of(http_request const& request, caller_identity const& caller)
 {
-    auto const text = content_of(request);
+    auto const text = content_of(request, caller);
     std::array<unsigned char, EVP_MAX_MD_SIZE> hash{};
     unsigned int size = 0;
     EVP_Digest(text.data(), text.size(), hash.data(), &size, EVP_sha256(), nullptr);
@@ -45,15 +44,15 @@
     return request_digest(std::move(hex));
 }
 
-void recent_responses::add(http_request const& request, time_point now)
+void recent_responses::add(http_request const& request, caller_identity const& caller, time_point now)
 {
-    auto const key = std::hash<std::string>()(content_of(request));
+    auto const key = std::hash<std::string>()(content_of(request, caller));
     m_responses[key % slot_count] = {key, now};
 }
 
-bool recent_responses::contains(http_request const& request, time_point now) const
+bool recent_responses::contains(http_request const& request, caller_identity const& caller, time_point now) const
 {
-    auto const key = std::hash<std::string>()(content_of(request));
+    auto const key = std::hash<std::string>()(content_of(request, caller));
     auto const& found = m_responses[key % slot_count];
     return found.key == key && now < found.at + recent_period;
 }
--- a/tests/test_crash_suspects.cpp
+++ b/tests/test_crash_suspects.cpp
@@ -174,7 +174,7 @@
     http_request message;
     message.path = "/plain/x";
     message.headers = {{"host", "h.example"}};
-    auto const digest = digest_of(message);
+    auto const digest = digest_of(message, caller_identity());
     fleet.quarantine.apply_peer_records("gw", {{digest, 3, 1, milliseconds(30000)}}, fleet.now);
     CHECK(fleet.response_to(fleet.start("/plain/x", "id1")).status == 503);
     CHECK(fleet.sent.empty());
@@ -203,7 +203,8 @@
         http_request message;
         message.path = "/gather/common";
         message.headers = {{"host", "h.example"}};
-        fleet.quarantine.apply_peer_records("gw", {{digest_of(message), 3, 1, milliseconds(30000)}}, fleet.now);
+        fleet.quarantine.apply_peer_records("gw", {{digest_of(message, caller_identity()), 3, 1, milliseconds(30000)}},
+                                            fleet.now);
         fleet.start("/gather/common", "id3");
         // The peer gateways are notified that it received a response.
         REQUIRE(fleet.quarantine.own_records(fleet.now).size() == 1);
@@ -274,3 +275,14 @@
     CHECK(fleet.response_to(key).header("missing") == "0");
     CHECK(fleet.quarantine.status(fleet.finished.back().digest, fleet.now) == quarantine_status::clear);
 }
+
+TEST_CASE("crash suspects: where callers have no keys, the header authorization tells them apart")
+{
+    dispatcher_fixture fleet;
+    auto const from = [&fleet](char const* caller) {
+        return fleet.start("/gather/x", "id", {{"authorization", caller}});
+    };
+    crash_all(fleet, from("Basic one"), 0);
+    CHECK(fleet.response_to(from("Basic one")).status == 503);
+    CHECK_FALSE(fleet.has_response(from("Basic two")));
+}
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -24,15 +24,15 @@
 TEST_CASE("digest: equal for a repetition, different for another path, body or caller")
 {
     auto const request = make_request("/a/b", "body", "id1");
-    auto const first = digest_of(request);
-    CHECK(first == digest_of(make_request("/a/b", "body", "id2")));
-    CHECK(first != digest_of(make_request("/a/c", "body", "id1")));
-    CHECK(first != digest_of(make_request("/a/b", "other", "id1")));
-    CHECK(first !=
-          digest_of(make_request("/a/bb", "ody", "id1"))); // The boundaries of the parts are included in the digest.
-    auto of_somebody = request;
-    of_somebody.headers.push_back({"authorization", "Basic somebody"});
-    CHECK(first != digest_of(of_somebody));
+    caller_identity const caller("customer one");
+    auto const first = digest_of(request, caller);
+    CHECK(first == digest_of(make_request("/a/b", "body", "id2"), caller));
+    CHECK(first != digest_of(make_request("/a/c", "body", "id1"), caller));
+    CHECK(first != digest_of(make_request("/a/b", "other", "id1"), caller));
+    CHECK(first != digest_of(make_request("/a/bb", "ody", "id1"),
+                             caller)); // The boundaries of the parts are included in the digest.
+    CHECK(first != digest_of(request, caller_identity("customer two")));
+    CHECK(first != digest_of(request, caller_identity()));
     CHECK(first.value().size() == 32);
 }
 
