Crashing requests: an answer counts once, not with each record published after it

Cause: a gateway publishes all its records with every change of one of them, for ten minutes, also that it saw an answer to a request. Each time the others took the old answer for a new one and cleared crashes that they had observed since.

Evidence: the new test failed before: a crash at one gateway was cleared when another one published a record of another request.

Change: an answer counts when it appears in a gateway's records, not when it is repeated. It counts again after crashes there.

--- a/include/cornelspring/quarantine.hpp
+++ b/include/cornelspring/quarantine.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace cornelspring {
@@ -184,6 +185,8 @@
     quarantine_options m_options;                              ///< Settings.
     std::unordered_map<std::string, known_request> m_requests; ///< By digest.
     std::function<void(change const&)> m_on_change;            ///< Hook.
+    /** Requests that were answered according to the last records of each other gateway. */
+    std::map<std::string, std::set<std::string>> m_peer_answers;
 };
 
 /** @return the name of @p status for logs. @param status the status. */
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -135,9 +135,13 @@
     for (auto& [digest, request] : m_requests) {
         if (!next.contains(digest)) request.peer_crashes.erase(source);
     }
+    auto const earlier_answers = std::exchange(m_peer_answers[source], {});
+    if (records.empty()) m_peer_answers.erase(source);
     for (auto const& [digest, record] : next) {
+        if (record.answered) m_peer_answers[source].insert(digest);
         auto const before = status(record.digest, now);
-        if (record.answered && before == quarantine_status::clear) continue;
+        // Each record is published again with every change of another one; an answer counts once.
+        if (record.answered && (before == quarantine_status::clear || earlier_answers.contains(digest))) continue;
         auto& request = find_or_add(record.digest, now);
         request.peer_crashes[source] = record.crashes;
         extend_quarantine(request, record, now);
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -205,3 +205,23 @@
     CHECK(peer.status(crashing, begin) == quarantine_status::quarantined);
     CHECK(peer.own_records(begin).empty());
 }
+
+TEST_CASE("quarantine: an answer that a gateway published before does not clear crashes observed since")
+{
+    request_quarantine this_vm;
+    request_quarantine peer;
+    peer.on_crashes(crashing, 1, begin);
+    peer.on_response(crashing, begin);
+    this_vm.apply_peer_records("there", peer.own_records(begin), begin);
+    this_vm.on_crashes(crashing, 1, begin);
+    // The peer gateway publishes all its records again, because of another request.
+    peer.on_crashes(other, 1, begin);
+    this_vm.apply_peer_records("there", peer.own_records(begin), begin);
+    CHECK(this_vm.status(crashing, begin) == quarantine_status::suspect);
+    // An answer to the crashing request itself still clears it.
+    peer.on_crashes(crashing, 1, begin);
+    this_vm.apply_peer_records("there", peer.own_records(begin), begin);
+    peer.on_response(crashing, begin);
+    this_vm.apply_peer_records("there", peer.own_records(begin), begin);
+    CHECK(this_vm.status(crashing, begin) == quarantine_status::clear);
+}
