HTTP: interim responses count against the limit on headers

Cause: only header fields counted against the limit, and an interim response may have none. Each now counts with the bytes of its start line.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -62,6 +62,9 @@
 /** Bytes of a header line other than name and value: colon, space and CRLF. */
 constexpr std::size_t header_line_overhead = 4;
 
+/** Bytes of an interim response without headers, at least. */
+constexpr std::size_t interim_overhead = 25;
+
 /** Counts header bytes. @return 0, or -1 to stop the parser when they exceed the limit. */
 int count_header_bytes(reader_state& reader, std::size_t length)
 {
@@ -159,7 +162,7 @@
     if (reader.interim) { // 1xx responses precede the final response.
         reader.response = {};
         reader.headers_done = reader.value_started = reader.interim = false;
-        return 0;
+        return count_header_bytes(reader, interim_overhead);
     }
     reader.keep_alive = http_should_keep_alive(parser) != 0;
     reader.state = parse_state::complete;
--- a/tests/test_http_message.cpp
+++ b/tests/test_http_message.cpp
@@ -117,3 +117,14 @@
     REQUIRE(headers.size() == 1);
     CHECK(headers[0].name == "x-b");
 }
+
+TEST_CASE("http message: interim responses without an end are too large a header")
+{
+    message_reader reader(message_reader::kind::response);
+    std::string const interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::size_t bytes = 0;
+    while (reader.state() == parse_state::incomplete && bytes < 1 << 20)
+        bytes += reader.feed(interim);
+    CHECK(reader.state() == parse_state::header_too_large);
+    CHECK(bytes <= 2 * message_limits{}.max_header_bytes);
+}
