Gateway: incomplete responses are bounded together, and tests of bytes without an end

A gateway held 481 MiB when all servers of four shards sent a body without an end to 16 queries (one run with gateway processes, before); the smallest VMs have 160 MB, and a process above its memory is ended with all its callers' requests.

Cause: each response is limited to 8 MiB, but nothing limited all of them. Beyond 32 MiB of incomplete responses the largest one is abandoned, which ends its attempt as lost; the metric of unanswered attempts counts it.

Tests with gateway processes and four forms of such bytes: with one bad replica of three services all callers get 200 (also before); with all replicas bad the gateway stays below 160 MiB (481 before), and the first good server is used again.

--- a/include/cornelspring/gateway.hpp
+++ b/include/cornelspring/gateway.hpp
@@ -46,6 +46,8 @@
         bool head_request = false;                          ///< The response has no body.
         std::function<match(http_response const&)> matches; ///< Whether a response belongs to this request.
         std::function<void(exchange_result)> done;          ///< Called once, with the outcome.
+        /** Called with the number of bytes received, each time before they are read. May be empty. */
+        std::function<void(std::size_t)> on_received;
     };
     /**
      * Starts connecting.
@@ -112,6 +114,8 @@
     /** A connection that was idle for longer may be dead, so requests that must not be repeated are not sent on it. */
     milliseconds max_idle_non_idempotent{250};
     message_limits response_limits{32768, 8 << 20}; ///< Limits on the size of responses.
+    /** Limit on the bytes of all incomplete responses together. Beyond it the largest one is abandoned. */
+    std::size_t max_incomplete_bytes = 32 << 20;
 };
 
 /** Connections to backend servers: sends attempts and reports their outcomes. */
--- a/src/gateway/backend_pool.cpp
+++ b/src/gateway/backend_pool.cpp
@@ -35,22 +35,25 @@
         std::shared_ptr<backend_server> server; ///< Backend server.
         timer_id connect_timer;                 ///< Cancels the attempt when connecting times out.
         bool new_connection = false;            ///< The connection was opened for it.
+        std::size_t received = 0;               ///< Bytes of its response so far.
     };
-    event_loop& loop;                                          ///< Event loop.
-    pool_options options;                                      ///< Settings.
-    std::function<void(attempt_id, attempt_result)> on_result; ///< Receives the outcomes of attempts.
-    std::unordered_map<std::uint64_t, active_attempt> in_use;  ///< Attempts in flight, by id.
+    event_loop& loop;                                           ///< Event loop.
+    pool_options options;                                       ///< Settings.
+    std::function<void(attempt_id, attempt_result)> on_result;  ///< Receives the outcomes of attempts.
+    std::unordered_map<std::uint64_t, active_attempt> in_use{}; ///< Attempts in flight, by id.
     /** Idle connections; a backend server that restarts is another object, without connections. */
-    std::unordered_map<std::shared_ptr<backend_server>, std::vector<pooled_connection>> idle;
+    std::unordered_map<std::shared_ptr<backend_server>, std::vector<pooled_connection>> idle{};
     /** A pre-connect in progress. */
     struct pending_connection {
         pooled_connection connection; ///< Connection.
         time_point connect_deadline;  ///< The pre-connect times out then.
     };
-    std::unordered_map<std::shared_ptr<backend_server>, pending_connection> preconnecting; ///< By backend server.
-    std::unordered_map<std::shared_ptr<backend_server>, time_point> unreachable; ///< No pre-connect until then.
-    std::uint64_t opened = 0; ///< Connections opened so far, and the id of the last one.
-    timer_id sweep_timer;     ///< Next sweep.
+    std::unordered_map<std::shared_ptr<backend_server>, pending_connection> preconnecting{}; ///< By backend server.
+    std::unordered_map<std::shared_ptr<backend_server>, time_point> unreachable{}; ///< No pre-connect until then.
+    std::size_t incomplete_bytes = 0; ///< Bytes of all incomplete responses.
+    bool limiting = false;            ///< limit_incomplete() is scheduled.
+    std::uint64_t opened = 0;         ///< Connections opened so far, and the id of the last one.
+    timer_id sweep_timer{};           ///< Next sweep.
 
     /** Opens a connection to @p server. */
     pooled_connection open(backend_server const& server);
@@ -65,6 +68,11 @@
     /** @return whether @p response belongs to the request @p expected. @param used the connection has carried another
      *  attempt before, to which a response without a request id may belong. */
     client_connection::match match(http_response const& response, std::string const& expected, bool used) const;
+    void on_received(attempt_id id, std::size_t bytes);
+    /** Abandons the largest incomplete responses until the others are within the limit. */
+    void limit_incomplete();
+    /** Removes an attempt from those in flight. */
+    active_attempt remove(std::unordered_map<std::uint64_t, active_attempt>::iterator found);
     void on_connect_timeout(attempt_id id);
     void on_exchange_done(attempt_id id, exchange_result result);
     attempt_result classify(exchange_result result) const;
@@ -139,6 +147,7 @@
     exchange.matches = [this, expected = std::move(attempt.request_id), used = entry.connection.client->used()](
                            http_response const& response) { return match(response, expected, used); };
     exchange.done = [this, id](exchange_result result) { on_exchange_done(id, std::move(result)); };
+    exchange.on_received = [this, id](std::size_t bytes) { on_received(id, bytes); };
     exchange.write_request = [this, attempt = std::move(attempt)](time_point now) {
         return write_request(attempt, now);
     };
@@ -155,22 +164,55 @@
     return used ? client_connection::match::unidentified : client_connection::match::expected;
 }
 
+void backend_pool::impl::on_received(attempt_id id, std::size_t bytes)
+{
+    auto const found = in_use.find(id.value());
+    if (found == in_use.end()) return;
+    found->second.received += bytes;
+    incomplete_bytes += bytes;
+    if (incomplete_bytes <= options.max_incomplete_bytes || std::exchange(limiting, true)) return;
+    // Deferred: this runs inside a callback of a connection that may have to be closed.
+    loop.run_at(loop.now(), [this] {
+        limiting = false;
+        limit_incomplete();
+    });
+}
+
+void backend_pool::impl::limit_incomplete()
+{
+    while (incomplete_bytes > options.max_incomplete_bytes) {
+        auto const largest = std::max_element(in_use.begin(), in_use.end(), [](auto const& left, auto const& right) {
+            return left.second.received < right.second.received;
+        });
+        attempt_id const id(largest->first);
+        auto const entry = remove(largest);
+        on_result(id, {attempt_status::lost, {}, "too many bytes of incomplete responses", entry.connection.id});
+    }
+}
+
+backend_pool::impl::active_attempt
+backend_pool::impl::remove(std::unordered_map<std::uint64_t, active_attempt>::iterator found)
+{
+    auto entry = std::move(found->second);
+    in_use.erase(found);
+    loop.cancel(entry.connect_timer);
+    incomplete_bytes -= entry.received;
+    return entry;
+}
+
 void backend_pool::impl::on_connect_timeout(attempt_id id)
 {
     auto const found = in_use.find(id.value());
     if (found == in_use.end() || found->second.connection.client->established()) return;
-    auto const connection = found->second.connection.id;
-    in_use.erase(found);
-    on_result(id, {attempt_status::not_sent, {}, "connect timed out", connection});
+    auto const entry = remove(found);
+    on_result(id, {attempt_status::not_sent, {}, "connect timed out", entry.connection.id});
 }
 
 void backend_pool::impl::on_exchange_done(attempt_id id, exchange_result result)
 {
     auto const found = in_use.find(id.value());
     if (found == in_use.end()) return;
-    auto entry = std::move(found->second);
-    in_use.erase(found);
-    loop.cancel(entry.connect_timer);
+    auto entry = remove(found);
     bool const kept = result.completed && entry.connection.client->reusable();
     auto outcome = classify(std::move(result));
     outcome.connection = entry.connection.id;
@@ -254,7 +296,7 @@
 
 backend_pool::backend_pool(event_loop& loop, pool_options options,
                            std::function<void(attempt_id, attempt_result)> on_result)
-    : m_impl(new impl{loop, std::move(options), std::move(on_result), {}, {}, {}, {}, 0, {}})
+    : m_impl(new impl{loop, std::move(options), std::move(on_result)})
 {
     m_impl->sweep();
 }
@@ -267,8 +309,7 @@
 {
     auto const found = m_impl->in_use.find(id.value());
     if (found == m_impl->in_use.end()) return;
-    m_impl->loop.cancel(found->second.connect_timer);
-    m_impl->in_use.erase(found);
+    m_impl->remove(found);
 }
 
 void backend_pool::preconnect(std::shared_ptr<backend_server> const& server) { m_impl->preconnect(server); }
--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -56,6 +56,7 @@
 void client_connection::on_bytes(std::string_view bytes)
 {
     m_bytes_received += bytes.size();
+    if (m_exchange && m_exchange->on_received) m_exchange->on_received(bytes.size());
     while (!bytes.empty()) {
         if (!m_exchange) { // Unexpected bytes: the connection must not be used again.
             m_unusable = true;
--- a/tests/process_fixture.hpp
+++ b/tests/process_fixture.hpp
@@ -44,6 +44,8 @@
      * @return the exit status.
      */
     int run(std::string const& binary, std::vector<std::string> const& args, std::string& output);
+    /** @return the process id of child @p name. */
+    int pid(std::string const& name) const { return m_children.at(name); }
     /** Sends @p signal to child @p name and, for SIGTERM and SIGKILL, waits until it exits.
      *  @return its exit status; 0 after other signals, -1 when there is no such child. */
     int stop(std::string const& name, int signal);
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -15,6 +15,27 @@
     setsockopt(socket, SOL_SOCKET, SO_LINGER, &none, sizeof none);
 }
 
+/** A response without an end. */
+struct endless_response {
+    std::string start;    ///< Bytes sent once.
+    std::string repeated; ///< Bytes sent again and again after it.
+};
+
+/** @return the endless responses by mode. */
+std::map<std::string, endless_response> const& endless_responses()
+{
+    static std::string const block(65536, 'a');
+    static std::string interim;
+    while (interim.size() < block.size())
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    static std::map<std::string, endless_response> const all{
+        {"endless_head", {"HTTP/1.1 200 OK\r\nx-fill: ", block}},
+        {"endless_interim", {"", interim}},
+        {"endless_body", {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n", "10000\r\n" + block + "\r\n"}},
+        {"endless_bytes", {"\x16\x03\x01", block}}};
+    return all;
+}
+
 } // namespace
 
 shard_server::shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal)
@@ -97,6 +118,15 @@
     on_request(number, std::move(request));
 }
 
+void shard_server::send_endlessly(std::uint64_t number, std::string const& bytes)
+{
+    constexpr std::size_t max_unsent = 1 << 20;
+    auto const found = m_connections.find(number);
+    if (found == m_connections.end()) return;
+    if (found->second.stream->unsent() < max_unsent) found->second.stream->send(bytes);
+    m_loop.run_at(m_loop.now() + milliseconds(1), [this, number, bytes] { send_endlessly(number, bytes); });
+}
+
 std::string shard_server::consume_mode()
 {
     auto const mode = m_behaviour.mode;
@@ -126,6 +156,12 @@
         return;
     }
     if (mode == "hang") return;
+    if (auto const found = endless_responses().find(mode); found != endless_responses().end()) {
+        auto const id = "request-id: " + request.header("request-id") + "\r\nserver-stamp: x\r\n";
+        m_connections.at(number).stream->send(found->second.start + (mode == "endless_body" ? id + "\r\n" : ""));
+        send_endlessly(number, found->second.repeated);
+        return;
+    }
     if (mode == "reset" || mode == "silent_run") {
         m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms),
                       [this, number] { m_connections.erase(number); });
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -13,8 +13,10 @@
      *  close the connection without a response), extra (sends the response twice), late_extra (sends the response again
      *  before the next response), late_rejection (rejects like shed, and sends the rejection again before the next
      *  response), late_unidentified (the same, without the request id in the second rejection), unframed (no
-     * content-length, then closes), truncated (closes before the last bytes), no_signature (no server-stamp), encoded
-     * (claims gzip), early (rejects with 503 before the body is complete). */
+     * content-length, then closes), endless_head, endless_interim, endless_body, endless_bytes (sends a header, interim
+     * responses, a body or bytes that are no response until the connection is closed), truncated (closes before the
+     * last bytes), no_signature (no server-stamp), encoded (claims gzip), early (rejects with 503 before the body is
+     * complete). */
     std::string mode = "ok";
     int work_ms = 5; ///< Simulated run time of a request.
     int times = -1;  ///< Number of requests to which it applies; -1 for all.
@@ -76,6 +78,8 @@
     void reject(connection& to, http_request const& request, bool misdirected, std::string const& mode);
     void on_request(std::uint64_t number, http_request request);
     void respond(std::uint64_t number, http_request const& request, std::string const& mode);
+    /** Sends bytes of the endless response to connection @p number, as fast as its peer reads. */
+    void send_endlessly(std::uint64_t number, std::string const& bytes);
     std::string consume_mode();
     /** Listens on @p port; 0 picks a free port. */
     void listen(std::uint16_t port);
