--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 REFUSALS = {401, 503, 429, 408, 421}  # Status codes which state that the request has not run and will not run.
 DRAIN_S = 3.0  # Time after which a draining backend server receives no new requests.
 CONFIG_APPLY_S = 3.0  # Time after which every gateway applies a written configuration.
+CRASH_FORMS = ("end", "reset", "half_head", "half_body")  # What a crash of a backend server shows its callers.
 QUARANTINE_KNOWN_S = 5.0  # Time after which all gateways have received the quarantine of a request (three crashes).
 MAX_REPEATS = 3  # Largest number of repetitions of a quarantined request that reach backend servers from then on.
 EVACUATE_S = 3.0  # Time after which an evacuated failure domain receives no new requests.
@@ -484,8 +485,10 @@
             return
         self.crashing_query_active = True
         path, for_s = f"/q/crash-{self.random.random()}", 12
+        form = random.Random(path).choice(CRASH_FORMS)  # Leaves the rest of the seed's plan as it is.
         self.mark_disturbed("backends", for_s + 3)
-        await call(self.backends_port, "POST", "/behave", {"crash_path": path, "down_ms": 400})
+        await call(self.backends_port, "POST", "/behave",
+                   {"crash_path": path, "crash_form": form, "down_ms": 400})
         sent, until = {}, time.monotonic() + for_s
         while time.monotonic() < until:
             request_id, gateway = f"crash-{self.random.random()}", self.random.randint(1, self.gateway_count)
@@ -512,6 +515,7 @@
         repeats = {e["id"] for e in journal if e["line"] == f"GET {path}"}
         late = [i for i in repeats if sent[i][0] > known_at and self.undisturbed_before(*sent[i])]
         self.stats["repeats of a crashing query"] += len(late)
+        self.stats["crashing queries"] += 1
         if len(late) > MAX_REPEATS:
             self.violation(f"{path} reached servers in {len(late)} repetitions after {known_at - self.started:.3f}: {late}")
 
