HTTP: a response whose status line is not valid does not reach callers

What callers saw: a backend server answered with the status 000, and the caller got "HTTP/1.1 000 Other" with the server's stamp and body. Shown the same way: 099, 600, 999, 20 (two digits), 0200, "2 0", two spaces or an empty line before the status, control characters in the reason phrase.

Cause: Debian's build of http_parser accepts each run of digits up to 999 as a status, skips empty lines before the status line and ignores the reason phrase. Nothing after it checked the status, so the gateway passed it on.

Change: message_reader checks the bytes of responses against the grammar of RFC 9112, 4 before the parser gets them (response_syntax); a status is valid from 100 to 599 (RFC 9110, 15). An invalid response is a malformed one, as bytes that are no HTTP were before: it is not passed on, the connection is closed, and a request that may be repeated goes to another replica. The reader serves the gateway's connections to backend servers, to the store and to other gateways, so the rule holds for all of these. Requests are read as before.

Evidence: tests/test_broken_responses.cpp with a gateway process and the stand-in's new mode "raw".

Why it works: the check sees the same bytes as the parser, before it, and a response that fails it never becomes complete, which is the only state in which a response is used.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,4 +1,6 @@
 /** @file http_message.cpp Strict HTTP/1.1 parsing with Debian's http_parser, and serialisation. */
+#include "response_syntax.hpp"
+
 #include <cornelspring/net.hpp>
 
 #include <algorithm>
@@ -14,6 +16,7 @@
     http_parser parser{};         ///< Parser state.
     kind what;                    ///< Requests or responses.
     message_limits limits;        ///< Size limits.
+    response_syntax syntax;       ///< Checks the bytes of responses.
     parse_state state{};          ///< Progress.
     http_request request;         ///< Request being read.
     http_response response;       ///< Response being read.
@@ -30,6 +33,8 @@
     std::vector<http_header>& headers() { return what == kind::request ? request.headers : response.headers; }
     /** @return the body of the message being read. */
     std::string& body() { return what == kind::request ? request.body : response.body; }
+    /** Parses bytes. @return the number of bytes consumed. */
+    std::size_t parse(std::string_view bytes);
     /** Discards the message and prepares to parse the next. */
     void restart()
     {
@@ -39,6 +44,7 @@
         request.path.clear();
         response = {};
         header_bytes = 0;
+        syntax.start_response();
         state = parse_state::incomplete;
         started = headers_done = value_started = keep_alive = has_length = no_body = interim = false;
     }
@@ -162,6 +168,7 @@
     if (reader.interim) { // 1xx responses precede the final response.
         reader.response = {};
         reader.headers_done = reader.value_started = reader.interim = false;
+        reader.syntax.start_response();
         return count_header_bytes(reader, interim_overhead);
     }
     reader.keep_alive = http_should_keep_alive(parser) != 0;
@@ -221,19 +228,33 @@
 
 message_reader::~message_reader() = default;
 
+std::size_t message_reader::impl::parse(std::string_view bytes)
+{
+    auto const used = http_parser_execute(&parser, &callbacks, bytes.data(), bytes.size());
+    auto const failure = HTTP_PARSER_ERRNO(&parser);
+    if (state != parse_state::incomplete) return used;
+    if (failure == HPE_HEADER_OVERFLOW) {
+        state = parse_state::header_too_large;
+    } else if (failure != HPE_OK) {
+        state = parse_state::malformed;
+    }
+    return used;
+}
+
 std::size_t message_reader::feed(std::string_view bytes)
 {
     auto& reader = *m_impl;
     if (reader.state != parse_state::incomplete || bytes.empty()) return 0;
     reader.started = true;
-
-    auto const used = http_parser_execute(&reader.parser, &callbacks, bytes.data(), bytes.size());
-    auto const failure = HTTP_PARSER_ERRNO(&reader.parser);
-    if (reader.state != parse_state::incomplete) return used;
-    if (failure == HPE_HEADER_OVERFLOW) {
-        reader.state = parse_state::header_too_large;
-    } else if (failure != HPE_OK) {
-        reader.state = parse_state::malformed;
+    if (reader.what == kind::request) return reader.parse(bytes);
+    std::size_t used = 0;
+    while (reader.state == parse_state::incomplete && used < bytes.size()) {
+        auto const part = bytes.substr(used, reader.syntax.check(bytes.substr(used)));
+        if (!reader.syntax.valid()) {
+            reader.state = parse_state::malformed;
+            return used;
+        }
+        used += reader.parse(part);
     }
     return used;
 }
--- /dev/null
+++ b/src/net/response_syntax.cpp
@@ -0,0 +1,80 @@
+/** @file response_syntax.cpp Strict check of the bytes of HTTP/1.1 responses. */
+#include "response_syntax.hpp"
+
+#include <algorithm>
+
+namespace cornelspring {
+namespace {
+
+/** Start of each status line; the digit of the minor version follows. */
+constexpr std::string_view version_prefix = "HTTP/1.";
+/** Length of a status line up to the status: version and space. */
+constexpr std::size_t status_at = 9;
+/** Length of a status line without a reason phrase. */
+constexpr std::size_t status_line_size = 12;
+
+/** @return whether @p c is a decimal digit. */
+bool is_digit(char c) { return c >= '0' && c <= '9'; }
+
+/** @return whether @p c may be in a reason phrase or a field value: no control character other than a tab. */
+bool is_text(char c) { return c == '\t' || (static_cast<unsigned char>(c) >= ' ' && c != '\x7f'); }
+
+/** @return whether all of @p text is_text(). */
+bool is_text(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return is_text(c); });
+}
+
+/** @return whether @p line is a status line with a status from 100 to 599 (RFC 9110, 15; RFC 9112, 4). */
+bool is_status_line(std::string_view line)
+{
+    if (line.size() < status_line_size || !line.starts_with(version_prefix)) return false;
+    bool const version = is_digit(line[version_prefix.size()]) && line[status_at - 1] == ' ';
+    auto const status = line.substr(status_at, status_line_size - status_at);
+    bool const in_range = status[0] >= '1' && status[0] <= '5' && is_digit(status[1]) && is_digit(status[2]);
+    auto const reason = line.substr(status_line_size);
+    // Some servers leave out the space before an empty reason phrase.
+    return version && in_range && (reason.empty() || reason[0] == ' ') && is_text(reason);
+}
+
+} // namespace
+
+void response_syntax::start_response()
+{
+    m_part = part::status_line;
+    m_line.clear();
+    m_valid = true;
+}
+
+std::size_t response_syntax::check(std::string_view bytes)
+{
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        if (m_part == part::body) return bytes.size();
+        auto const end = bytes.find('\n', at);
+        auto line = bytes.substr(at, end == std::string_view::npos ? end : end - at);
+        if (!m_line.empty() || end == std::string_view::npos) m_line.append(line);
+        if (end == std::string_view::npos) return bytes.size();
+        if (!m_line.empty()) line = m_line;
+        m_valid = check_line(line);
+        m_line.clear();
+        at = end + 1;
+        if (!m_valid || m_part == part::body) return at;
+    }
+    return at;
+}
+
+bool response_syntax::check_line(std::string_view line)
+{
+    if (line.ends_with('\r')) line.remove_suffix(1); // LF alone ends a line, too (RFC 9112, 2.2).
+    switch (m_part) {
+    case part::status_line: m_part = part::fields; return is_status_line(line);
+    case part::fields:
+        if (line.empty()) m_part = part::body;
+        return true;
+    case part::body: break;
+    }
+    return true;
+}
+
+} // namespace cornelspring
--- /dev/null
+++ b/src/net/response_syntax.hpp
@@ -0,0 +1,38 @@
+/** @file response_syntax.hpp Strict check of the bytes of HTTP/1.1 responses (internal). */
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace cornelspring {
+
+/**
+ * Checks responses against the grammar of RFC 9112 while they are received. Debian's build of http_parser accepts
+ * more, for example any status up to 999.
+ */
+class response_syntax {
+public:
+    /** Prepares for the status line of a response, interim or final. */
+    void start_response();
+    /**
+     * Checks bytes up to the end of a header, or all if the header does not end in them. Bytes of a body are valid.
+     * @param bytes received bytes that have not been checked yet.
+     * @return the number of bytes checked.
+     */
+    std::size_t check(std::string_view bytes);
+    /** @return whether all bytes checked since start_response() are valid. */
+    bool valid() const { return m_valid; }
+
+private:
+    /** What comes next. */
+    enum class part { status_line, fields, body };
+    /** Checks one line. @param line the line, without LF. @return whether it is valid. */
+    bool check_line(std::string_view line);
+
+    part m_part = part::status_line; ///< What comes next.
+    std::string m_line;              ///< Start of a line whose end has not been received.
+    bool m_valid = true;             ///< All bytes so far are valid.
+};
+
+} // namespace cornelspring
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -124,7 +124,8 @@
                 server->set_crash(
                     {body["crash_path"], milliseconds(body.value("down_ms", 1000)), body.value("crash_form", "end")});
             if (body.contains("mode") || body.contains("work_ms"))
-                server->set_behaviour({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1)});
+                server->set_behaviour({body.value("mode", "ok"), body.value("work_ms", 5), body.value("times", -1),
+                                       body.value("raw_response", "")});
         }
     }
 
--- a/tests/stand_in/shard_server.cpp
+++ b/tests/stand_in/shard_server.cpp
@@ -36,6 +36,15 @@
     return all;
 }
 
+/** @return @p text with @p request_id in place of each "{id}". */
+std::string fill_in(std::string text, std::string const& request_id)
+{
+    static std::string const placeholder = "{id}";
+    for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder, at + request_id.size()))
+        text.replace(at, placeholder.size(), request_id);
+    return text;
+}
+
 } // namespace
 
 shard_server::shard_server(event_loop& loop, std::string id, std::string service, std::vector<journal_entry>& journal)
@@ -127,16 +136,17 @@
     m_loop.run_at(m_loop.now() + milliseconds(1), [this, number, bytes] { send_endlessly(number, bytes); });
 }
 
-std::string shard_server::consume_mode()
+shard_behaviour shard_server::consume_behaviour()
 {
-    auto const mode = m_behaviour.mode;
+    auto behaviour = m_behaviour;
     if (m_behaviour.times > 0 && --m_behaviour.times == 0) m_behaviour = {};
-    return mode;
+    return behaviour;
 }
 
 void shard_server::on_request(std::uint64_t number, http_request request)
 {
-    auto const mode = consume_mode();
+    auto const behaviour = consume_behaviour();
+    auto const& mode = behaviour.mode;
     auto const now_ms = std::chrono::duration_cast<milliseconds>(m_loop.now().time_since_epoch()).count();
     bool const misdirected = request.header("target-instance") != m_id;
     bool const rejects = mode == "shed" || mode == "late_rejection" || mode == "late_unidentified" || mode == "early";
@@ -168,7 +178,7 @@
         return;
     }
     m_loop.run_at(m_loop.now() + milliseconds(m_behaviour.work_ms),
-                  [this, number, request, mode] { respond(number, request, mode); });
+                  [this, number, request, behaviour] { respond(number, request, behaviour); });
 }
 
 void shard_server::reject(connection& to, http_request const& request, bool misdirected, std::string const& mode)
@@ -191,11 +201,16 @@
     return response;
 }
 
-void shard_server::respond(std::uint64_t number, http_request const& request, std::string const& mode)
+void shard_server::respond(std::uint64_t number, http_request const& request, shard_behaviour const& behaviour)
 {
     auto const found = m_connections.find(number);
     if (found == m_connections.end() || found->second.silent) return;
     auto& to = found->second;
+    auto const& mode = behaviour.mode;
+    if (mode == "raw") {
+        to.stream->send(fill_in(behaviour.raw_response, request.header("request-id")));
+        return;
+    }
     auto response = make_response(request);
     if (mode == "error") response.status = 500;
     if (mode == "no_signature") std::erase_if(response.headers, [](auto const& h) { return h.name == "server-stamp"; });
--- a/tests/stand_in/shard_server.hpp
+++ b/tests/stand_in/shard_server.hpp
@@ -16,10 +16,11 @@
      * content-length, then closes), endless_head, endless_interim, endless_body, endless_bytes (sends a header, interim
      * responses, a body or bytes that are no response until the connection is closed), truncated (closes before the
      * last bytes), no_signature (no server-stamp), encoded (claims gzip), early (rejects with 503 before the body is
-     * complete). */
+     * complete), raw (sends raw_response). */
     std::string mode = "ok";
-    int work_ms = 5; ///< Simulated run time of a request.
-    int times = -1;  ///< Number of requests to which it applies; -1 for all.
+    int work_ms = 5;          ///< Simulated run time of a request.
+    int times = -1;           ///< Number of requests to which it applies; -1 for all.
+    std::string raw_response; ///< Bytes of the response in mode raw; each "{id}" stands for the request id.
 };
 
 /** How a crash of a backend server looks to its callers. */
@@ -77,10 +78,11 @@
     /** Rejects @p request, which does not run. @param misdirected it was meant for another server. */
     void reject(connection& to, http_request const& request, bool misdirected, std::string const& mode);
     void on_request(std::uint64_t number, http_request request);
-    void respond(std::uint64_t number, http_request const& request, std::string const& mode);
+    void respond(std::uint64_t number, http_request const& request, shard_behaviour const& behaviour);
     /** Sends bytes of the endless response to connection @p number, as fast as its peer reads. */
     void send_endlessly(std::uint64_t number, std::string const& bytes);
-    std::string consume_mode();
+    /** @return the behaviour for the next request. */
+    shard_behaviour consume_behaviour();
     /** Listens on @p port; 0 picks a free port. */
     void listen(std::uint16_t port);
     /** Ends all connections and the listener, and listens again after a while. @param number connection of the request
--- /dev/null
+++ b/tests/test_broken_responses.cpp
@@ -0,0 +1,104 @@
+/** @file test_broken_responses.cpp Backend servers whose responses are not valid HTTP, with gateway processes. */
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace cornelspring;
+using namespace cornelspring::testing;
+
+namespace {
+
+/** Fields by which a response counts as that of a backend server; "{id}" stands for the request id. */
+std::string const valid_fields = "request-id: {id}\r\nserver-stamp: s\r\n";
+
+/** Body of these responses. No valid response has it, so no caller may receive it. */
+std::string const broken_body = "0123456789abcdef";
+
+/** @return a response that is valid unless its parts are not. @param status_line status line without its end.
+ *  @param fields lines of further fields. */
+std::string response_with(std::string const& status_line, std::string const& fields = "")
+{
+    return status_line + "\r\n" + valid_fields + fields + "content-length: " + std::to_string(broken_body.size()) +
+           "\r\n\r\n" + broken_body;
+}
+
+/** @return a chunked response. @param body its body with framing and trailers. */
+std::string chunked_response(std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + valid_fields + "transfer-encoding: chunked\r\n\r\n" + body;
+}
+
+/** Sends requests of each kind while the backend servers of @p ids send @p bytes. Checks that the response to each is
+ *  valid. @param all whether @p ids are all replicas, so that no request can succeed. */
+void check_callers(gateway_fleet& fleet, std::vector<std::string> const& ids, std::string const& bytes, bool all)
+{
+    static int number = 0;
+    CAPTURE(bytes);
+    CAPTURE(all);
+    for (auto const& id : ids)
+        fleet.set_backend_behavior({{"backend", id}, {"mode", "raw"}, {"raw_response", bytes}});
+    for (int i = 0; i < 4; ++i) {
+        auto const tag = std::to_string(++number);
+        CAPTURE(tag);
+        for (std::string const path : {"/r/", "/q/"}) {
+            auto const response = fleet.send_request(1, path + tag, "id" + tag);
+            CAPTURE(path);
+            // Queries over shards that fail are refused in advance.
+            if (all) CHECK((response.status == 502 || (path == "/q/" && response.status == 503)));
+            if (!all) CHECK(response.status == 200);
+            CHECK(response.body.find(broken_body) == std::string::npos);
+        }
+        auto const written = fleet.send_request(1, "/w/" + tag, "w" + tag, "POST", "b" + tag);
+        CHECK((written.status == 502 || (!all && written.status == 200)));
+        if (written.status == 200) CHECK(written.body == "ran b" + tag);
+    }
+    fleet.set_backend_behavior({{"mode", "ok"}});
+}
+
+/** Checks that callers get none of the broken @p responses, neither from one replica nor from all. */
+void check_broken(std::vector<std::string> const& responses)
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    for (auto const& bytes : responses)
+        check_callers(fleet, {"i-s-0", "i-g0-0", "i-g1-0"}, bytes, false);
+    for (auto const& bytes : responses)
+        check_callers(fleet, {"i-s-0", "i-s-1", "i-g0-0", "i-g0-1", "i-g1-0", "i-g1-1"}, bytes, true);
+}
+
+} // namespace
+
+TEST_CASE("a response with an invalid status does not reach callers")
+{
+    std::vector<std::string> responses;
+    for (char const* status : {"000", "099", "600", "999", "20", "0200", "-20", "2 0"})
+        responses.push_back(response_with("HTTP/1.1 " + std::string(status) + " OK"));
+    check_broken(responses);
+}
+
+TEST_CASE("a response with an invalid status line does not reach callers")
+{
+    std::vector<std::string> responses;
+    for (char const* line : {"HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1  200 OK", "HTTP/2.0 200 OK",
+                             "\r\nHTTP/1.1 200 OK", "HTTP/1.1\t200 OK", "ICY 200 OK"})
+        responses.push_back(response_with(line));
+    check_broken(responses);
+}
+
+TEST_CASE("valid responses in uncommon forms reach callers")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto const rest = valid_fields + "content-length: 3\r\n\r\nabc";
+    for (std::string const& bytes :
+         {"HTTP/1.1 200\r\n" + rest, "HTTP/1.1 200 \r\n" + rest, "HTTP/1.0 200 Fine \xc3\xa9\r\n" + rest,
+          "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+          "HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~9: \t v\xc3\xa9 w \t\r\nx-empty:\r\n" + rest,
+          chunked_response("1\r\na\r\n002;x=\"y\"\r\nbc\r\n0\r\nx-a: v\r\n\r\n")}) {
+        CAPTURE(bytes);
+        fleet.set_backend_behavior({{"mode", "raw"}, {"raw_response", bytes}});
+        auto const response = fleet.send_request(1, "/r/a", "uncommon");
+        CHECK(response.status == 200);
+        CHECK(response.body == "abc");
+    }
+}
