HTTP: a response with an invalid field does not reach callers

What callers saw: a backend server sent a field line that starts with a blank or a tab, or whose value starts with a control character, and callers got that response: the line joined to the value of the field before it, or with an altered value. A name with a blank or a control character inside it or at its end already made the response malformed; those rows of the test passed before.

Cause: http_parser takes a line that starts with a blank as a continuation of the value before it, with the line break removed, so the names of such lines were never looked at. RFC 9112, 5.2 forbids an intermediary to pass on such responses as they are. It also skips a control character at the start of a value.

Change: each line of a response's header must be a field by RFC 9112, 5: a token, a colon, and a value without control characters other than tabs.

Evidence: "a response with an invalid field does not reach callers", a gateway process and the stand-in, 16 forms. Now all pass.

Why it works: the line is refused before the parser can join it to another.

--- a/src/net/response_syntax.cpp
+++ b/src/net/response_syntax.cpp
@@ -25,6 +25,27 @@
     return std::all_of(text.begin(), text.end(), [](char c) { return is_text(c); });
 }
 
+/** @return whether @p c may be in the name of a field (RFC 9110, 5.6.2). */
+bool is_token(char c)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    bool const letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return letter || is_digit(c) || symbols.find(c) != std::string_view::npos;
+}
+
+/**
+ * @return whether @p line is a field (RFC 9112, 5). A line that continues the value of the one before it starts with a
+ * blank and so is not one: readers disagree about such lines, and intermediaries must not pass them on (5.2).
+ */
+bool is_field(std::string_view line)
+{
+    auto const colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) return false;
+    auto const name = line.substr(0, colon);
+    return std::all_of(name.begin(), name.end(), [](char c) { return is_token(c); }) &&
+           is_text(line.substr(colon + 1));
+}
+
 /** @return whether @p line is a status line with a status from 100 to 599 (RFC 9110, 15; RFC 9112, 4). */
 bool is_status_line(std::string_view line)
 {
@@ -71,7 +92,7 @@
     case part::status_line: m_part = part::fields; return is_status_line(line);
     case part::fields:
         if (line.empty()) m_part = part::body;
-        return true;
+        return line.empty() || is_field(line);
     case part::body: break;
     }
     return true;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -85,6 +85,16 @@
     check_broken(responses);
 }
 
+TEST_CASE("a response with an invalid field does not reach callers")
+{
+    std::vector<std::string> responses;
+    for (char const* line :
+         {"x a: v", "x-a : v", "x\ta: v", " x-a: v", "x\x01-a: v", "x\x7f-a: v", "x\r-a: v", ": v", "x-a", "x-a: v\x01",
+          "x-a: \x01", "x-a: v\x7f", "x-a: v\rw", "x-a: v\r\n folded", "x-a: v\r\n\tfolded", "x\"a: v"})
+        responses.push_back(response_with("HTTP/1.1 200 OK", std::string(line) + "\r\n"));
+    check_broken(responses);
+}
+
 TEST_CASE("valid responses in uncommon forms reach callers")
 {
     gateway_fleet fleet;
