HTTP: a response whose end is not certain does not reach callers

What callers saw: responses with a body that was not the backend server's. Chunks that are longer than they say ("10", 16 bytes, "XY0" instead of a line end), text or control characters behind the size of a chunk, "gzip, chunked" with the chunks removed and the gzip left, chunked in HTTP/1.0, a 204 with a body, a 1xx with a body or a switch to another protocol before the final response, trailers that are no fields. A 304 with a Content-Length got a 504, as the gateway waited for the body that a 304 never has.

Cause: Debian's build of http_parser is not strict: it does not look at the two bytes after a chunk, takes any byte after CR for LF, skips whatever follows the size of a chunk, and reads a body where the status excludes one.

Change: response_syntax checks the lines of chunks and trailers as well, also where a read ends within a line. At the end of the header the reader refuses what RFC 9112, 6 and RFC 9110, 8.6 exclude: codings other than a single "chunked", codings in HTTP/1.0, a body of 1xx or 204, 101. 1xx, 204, 304 and responses to HEAD end with their header. Names that start with "transfer-encoding" and go on are refused, since the parser takes them for that field.

Why it works: a response is complete only when the check and the parser agree on its end.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -115,6 +115,35 @@
     return count_header_bytes(reader, length + overhead);
 }
 
+constexpr unsigned status_switching_protocols = 101;
+constexpr unsigned status_no_content = 204;
+constexpr unsigned status_not_modified = 304;
+
+/** @return whether responses with @p status end with their header, whatever its fields say (RFC 9112, 6.3). */
+bool is_bodiless(unsigned status)
+{
+    return status / 100 == 1 || status == status_no_content || status == status_not_modified;
+}
+
+/** @return whether @p parser, which has read the header of a response, can find the end of the response. */
+bool has_valid_framing(http_parser const& parser, std::vector<http_header> const& headers)
+{
+    // No request asks for another protocol, as Upgrade is not forwarded.
+    if (parser.status_code == status_switching_protocols) return false;
+    bool const bodiless = is_bodiless(parser.status_code);
+    std::size_t codings = 0;
+    for (auto const& header : headers) {
+        if (header.name != "transfer-encoding") continue;
+        // Other codings cannot be removed, and HTTP/1.0 has none (RFC 9112, 6.1).
+        bool const chunked = same_header(header.value.substr(0, header.value.find_last_not_of(" \t") + 1), "chunked");
+        if (!chunked || ++codings > 1 || bodiless || parser.http_minor == 0) return false;
+    }
+    // The parser takes any field whose name starts with Transfer-Encoding for that field.
+    if (codings == 0 && parser.uses_transfer_encoding != 0) return false;
+    bool const announces_body = (parser.flags & F_CONTENTLENGTH) != 0 && parser.content_length > 0;
+    return !bodiless || !announces_body || parser.status_code == status_not_modified;
+}
+
 /** Parser callback at the end of the headers: checks them and reads the framing of the body. */
 int on_headers(http_parser* parser)
 {
@@ -133,20 +162,27 @@
     }
     reader.headers_done = true;
     reader.has_length = (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
+    bool skips_body = reader.no_body;
     if (reader.what == message_reader::kind::request) {
         if (parser->method != HTTP_CONNECT) parser->upgrade = 0; // A server may ignore Upgrade (RFC 9110, 7.8).
         reader.request.method = http_method_str(static_cast<http_method>(parser->method));
     } else {
+        if (!has_valid_framing(*parser, reader.headers())) {
+            reader.state = parse_state::malformed;
+            return -1;
+        }
         reader.interim = parser->status_code / 100 == 1;
         reader.response.status = parser->status_code;
         parser->upgrade = 0;
+        skips_body = skips_body || is_bodiless(parser->status_code);
+        if (!skips_body && (parser->flags & F_CHUNKED) != 0) reader.syntax.start_chunks();
     }
-    if (reader.has_length && (parser->flags & F_CONTENTLENGTH) != 0 &&
+    if (!skips_body && (parser->flags & F_CONTENTLENGTH) != 0 &&
         parser->content_length > reader.limits.max_body_bytes) {
         reader.state = parse_state::body_too_large;
         return -1;
     }
-    return reader.no_body ? 1 : 0;
+    return skips_body ? 1 : 0;
 }
 
 /** Parser callback: appends to the body. */
--- a/src/net/response_syntax.cpp
+++ b/src/net/response_syntax.cpp
@@ -2,6 +2,7 @@
 #include "response_syntax.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace cornelspring {
 namespace {
@@ -42,8 +43,7 @@
     auto const colon = line.find(':');
     if (colon == std::string_view::npos || colon == 0) return false;
     auto const name = line.substr(0, colon);
-    return std::all_of(name.begin(), name.end(), [](char c) { return is_token(c); }) &&
-           is_text(line.substr(colon + 1));
+    return std::all_of(name.begin(), name.end(), [](char c) { return is_token(c); }) && is_text(line.substr(colon + 1));
 }
 
 /** @return whether @p line is a status line with a status from 100 to 599 (RFC 9110, 15; RFC 9112, 4). */
@@ -67,35 +67,65 @@
     m_valid = true;
 }
 
+void response_syntax::start_chunks() { m_part = part::chunk_size; }
+
 std::size_t response_syntax::check(std::string_view bytes)
 {
     std::size_t at = 0;
     while (at < bytes.size()) {
         if (m_part == part::body) return bytes.size();
+        if (m_part == part::chunk_data) {
+            auto const received = std::min(m_chunk_left, bytes.size() - at);
+            at += received;
+            m_chunk_left -= received;
+            if (m_chunk_left == 0) m_part = part::chunk_end;
+            continue;
+        }
         auto const end = bytes.find('\n', at);
-        auto line = bytes.substr(at, end == std::string_view::npos ? end : end - at);
-        if (!m_line.empty() || end == std::string_view::npos) m_line.append(line);
-        if (end == std::string_view::npos) return bytes.size();
-        if (!m_line.empty()) line = m_line;
-        m_valid = check_line(line);
+        bool const line_ends = end != std::string_view::npos;
+        auto line = bytes.substr(at, line_ends ? end - at : end);
+        auto const first_unchecked = m_line.empty() ? 0 : m_line.size() - 1;
+        if (!m_line.empty() || !line_ends) line = m_line.append(line);
+        // The parser gets the start of a line before its end has arrived, and takes any byte after a CR for an LF.
+        auto const cr = line.find('\r', first_unchecked);
+        bool const stray_cr = cr != std::string_view::npos && cr + 1 < line.size();
+        m_valid = !stray_cr && (!line_ends || check_line(line));
+        if (!m_valid || !line_ends) return bytes.size();
         m_line.clear();
         at = end + 1;
-        if (!m_valid || m_part == part::body) return at;
+        if (m_part == part::body) return at;
     }
     return at;
 }
 
 bool response_syntax::check_line(std::string_view line)
 {
-    if (line.ends_with('\r')) line.remove_suffix(1); // LF alone ends a line, too (RFC 9112, 2.2).
+    bool const ends_with_cr = line.ends_with('\r');
+    if (ends_with_cr) line.remove_suffix(1);
     switch (m_part) {
     case part::status_line: m_part = part::fields; return is_status_line(line);
     case part::fields:
+    case part::trailers:
         if (line.empty()) m_part = part::body;
-        return line.empty() || is_field(line);
+        return line.empty() || is_field(line); // LF alone ends such a line, too (RFC 9112, 2.2).
+    case part::chunk_size: return ends_with_cr && check_chunk_size(line);
+    case part::chunk_end: m_part = part::chunk_size; return ends_with_cr && line.empty();
+    case part::chunk_data:
     case part::body: break;
     }
     return true;
 }
 
+bool response_syntax::check_chunk_size(std::string_view line)
+{
+    auto const* end = line.data() + line.size();
+    auto const [rest, failure] = std::from_chars(line.data(), end, m_chunk_left, 16);
+    if (failure != std::errc()) return false;
+    m_part = m_chunk_left == 0 ? part::trailers : part::chunk_data;
+    // Some servers pad the size with blanks. Extensions are ignored (RFC 9112, 7.1.1).
+    std::string_view extensions(rest, static_cast<std::size_t>(end - rest));
+    extensions.remove_prefix(std::min(extensions.find_first_not_of(" \t"), extensions.size()));
+    return extensions.empty() || (extensions[0] == ';' && is_text(extensions));
+}
+
 } // namespace cornelspring
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -95,6 +95,51 @@
     check_broken(responses);
 }
 
+TEST_CASE("an invalid interim response does not reach callers, nor does the response after it")
+{
+    std::vector<std::string> responses;
+    for (char const* head : {"HTTP/1.1 100 Continue\r\nx a: v\r\n\r\n", "HTTP/1.1 100 Continue\r\nx\x01: v\r\n\r\n",
+                             "HTTP/1.1 100 Continue\r\ncontent-length: 3\r\n\r\nabc",
+                             "HTTP/1.1 100 Continue\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                             "HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.1 000 Continue\r\n\r\n"})
+        responses.push_back(head + response_with("HTTP/1.1 200 OK"));
+    check_broken(responses);
+}
+
+TEST_CASE("a response with invalid trailers does not reach callers")
+{
+    std::vector<std::string> responses;
+    for (char const* trailers :
+         {"x a: v\r\n", "x-a : v\r\n", "x\x01: v\r\n", "x-a: v\r\n folded\r\n", ": v\r\n", "x-a\r\n", "x-a: v\x01\r\n"})
+        responses.push_back(chunked_response("10\r\n" + broken_body + "\r\n0\r\n" + trailers + "\r\n"));
+    check_broken(responses);
+}
+
+TEST_CASE("a response with invalid framing does not reach callers")
+{
+    auto const chunk = "10\r\n" + broken_body;
+    auto const chunks = chunk + "\r\n0\r\n\r\n";
+    check_broken({chunked_response(chunk + "XY0\r\n\r\n"), chunked_response("10 x\r\n" + broken_body + "\r\n0\r\n\r\n"),
+                  chunked_response("10;\x01\r\n" + broken_body + "\r\n0\r\n\r\n"),
+                  chunked_response("10\rx" + broken_body + "\r\n0\r\n\r\n"),
+                  chunked_response(chunk + "\r\n0\rx\r\n\r\n"),
+                  "HTTP/1.1 200 OK\r\n" + valid_fields + "transfer-encoding: gzip, chunked\r\n\r\n" + chunks,
+                  "HTTP/1.0 200 OK\r\n" + valid_fields + "transfer-encoding: chunked\r\n\r\n" + chunks,
+                  "HTTP/1.1 204 No Content\r\n" + valid_fields + "content-length: 3\r\n\r\nabc",
+                  "HTTP/1.1 204 No Content\r\n" + valid_fields + "transfer-encoding: chunked\r\n\r\n" + chunks});
+}
+
+TEST_CASE("a response without a body does not take bytes of the next one for it")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.set_backend_behavior(
+        {{"mode", "raw"},
+         {"raw_response", "HTTP/1.1 304 Not Modified\r\n" + valid_fields + "content-length: 16\r\n\r\n"}});
+    for (int i = 0; i < 4; ++i)
+        CHECK(fleet.send_request(1, "/r/a", "no-body-" + std::to_string(i)).status == 304);
+}
+
 TEST_CASE("valid responses in uncommon forms reach callers")
 {
     gateway_fleet fleet;
--- a/tests/test_http_message.cpp
+++ b/tests/test_http_message.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 using namespace cornelspring;
 
 namespace {
@@ -128,3 +130,80 @@
     CHECK(reader.state() == parse_state::header_too_large);
     CHECK(bytes <= 2 * message_limits{}.max_header_bytes);
 }
+
+namespace {
+
+/** Valid responses in all framings, as a start for mutations. */
+std::vector<std::string> const valid_responses = {
+    "HTTP/1.1 200 OK\r\nserver-stamp: s\r\nContent-Length: 3\r\n\r\nabc",
+    "HTTP/1.1 200 OK\r\nX: \r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\n1\r\nc\r\n0\r\nY: z\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 404 \r\nConnection: x, close\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 304 Not Modified\r\nETag: \"e\"\r\nContent-Length: 7\r\n\r\n",
+    "HTTP/1.0 503 Busy\r\nRetry-After: 1\r\n\r\nlater"};
+
+/** @return @p text with one to three bytes inserted, replaced or removed. */
+std::string mutate(std::string text, std::mt19937_64& random)
+{
+    static std::string const bytes("\0\x01\t\n\r :;,0159AaZ\x7f\x80\xff", 20);
+    for (auto steps = 1 + random() % 3; steps > 0 && !text.empty(); --steps) {
+        auto const at = random() % text.size();
+        char const byte = bytes[random() % bytes.size()];
+        switch (random() % 3) {
+        case 0: text.insert(at, 1, byte); break;
+        case 1: text[at] = byte; break;
+        default: text.erase(at, 1 + random() % 3);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("http: a response that was read is valid when it is passed on, however it was split")
+{
+    std::mt19937_64 random(1);
+    int complete = 0;
+    for (int i = 0; i < 40000; ++i) {
+        auto const bytes = mutate(valid_responses[random() % valid_responses.size()], random);
+        CAPTURE(bytes);
+        message_reader whole(message_reader::kind::response);
+        auto state = read_all(whole, bytes, bytes.size());
+        message_reader split(message_reader::kind::response);
+        REQUIRE(read_all(split, bytes, 1 + random() % 5) == state);
+        if (state == parse_state::incomplete) {
+            whole.finish();
+            state = whole.state();
+        }
+        if (state != parse_state::complete) continue;
+        ++complete;
+        auto response = whole.response();
+        remove_hop_by_hop(response.headers);
+        auto const sent = serialize(response, false);
+        message_reader again(message_reader::kind::response);
+        REQUIRE(again.feed(sent) == sent.size());
+        REQUIRE(again.state() == parse_state::complete);
+        REQUIRE(again.response().status == response.status);
+        bool const bodiless = response.status == 204 || response.status == 304;
+        REQUIRE(again.response().body == (bodiless ? "" : response.body));
+    }
+    CHECK(complete > 1000);
+}
+
+TEST_CASE("http: a response to HEAD may announce a body of any size")
+{
+    message_reader reader(message_reader::kind::response, {300, 400});
+    reader.expect_no_body();
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+    CHECK(reader.state() == parse_state::complete);
+}
+
+TEST_CASE("http: chunk extensions without an end are too large a header")
+{
+    message_reader reader(message_reader::kind::response);
+    reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    std::string const block(4096, 'x');
+    std::size_t bytes = 0;
+    while (reader.state() == parse_state::incomplete && bytes < 1 << 20)
+        bytes += reader.feed(block);
+    CHECK(reader.state() == parse_state::header_too_large);
+}
