HTTP: trailers of a response are not merged into its header

What callers saw: fields from the trailers of a backend server's chunked response came as fields of the header. A response without a stamp in its header counted as signed if a trailer had one.

Cause: message_reader appended trailers to the header's fields. RFC 9110, 6.5.1 allows that only where the definition of a field permits it.

Change: the trailers of a response are checked, counted against the limit on headers, and discarded: a response is sent on with a Content-Length, which leaves no place for them. Requests are read as before.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -94,10 +94,18 @@
     return count_header_bytes(reader, length);
 }
 
+/** @return whether the parser is in the trailers of a response. They are not part of the header, whose fields they
+ * could replace otherwise (RFC 9110, 6.5.1), and are discarded. */
+bool in_discarded_trailers(reader_state const& reader)
+{
+    return reader.headers_done && reader.what == message_reader::kind::response;
+}
+
 /** Parser callback: appends to a header name. */
 int on_field(http_parser* parser, char const* at, std::size_t length)
 {
     auto& reader = state_of(parser);
+    if (in_discarded_trailers(reader)) return count_header_bytes(reader, length);
     auto& headers = reader.headers();
     if (headers.empty() || reader.value_started) headers.emplace_back();
     reader.value_started = false;
@@ -109,6 +117,7 @@
 int on_value(http_parser* parser, char const* at, std::size_t length)
 {
     auto& reader = state_of(parser);
+    if (in_discarded_trailers(reader)) return count_header_bytes(reader, length);
     reader.headers().back().value.append(at, length);
     std::size_t const overhead = reader.value_started ? 0 : header_line_overhead;
     reader.value_started = true;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -129,6 +129,22 @@
                   "HTTP/1.1 204 No Content\r\n" + valid_fields + "transfer-encoding: chunked\r\n\r\n" + chunks});
 }
 
+TEST_CASE("trailers are not merged into the header of a response")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    fleet.set_backend_behavior({{"mode", "raw"},
+                                {"raw_response", "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ntransfer-encoding: "
+                                                 "chunked\r\n\r\n3\r\nabc\r\n0\r\nserver-stamp: s\r\nx-a: v\r\n\r\n"}});
+    CHECK(fleet.send_request(1, "/r/a", "trailers").status == 502);
+    fleet.set_backend_behavior(
+        {{"mode", "raw"}, {"raw_response", chunked_response("3\r\nabc\r\n0\r\nx-a: v\r\n\r\n")}});
+    auto const response = fleet.send_request(1, "/r/a", "more-trailers");
+    CHECK(response.status == 200);
+    CHECK(response.body == "abc");
+    CHECK(response.header("x-a").empty());
+}
+
 TEST_CASE("a response without a body does not take bytes of the next one for it")
 {
     gateway_fleet fleet;
