Gateway: a malformed response of the store does not end the process

What callers saw: while the store (or what answers at its address) responded to a call for a lease with 200 and a body that is not a lease, gateways ended and were restarted into the same response: connections of all callers were cut.

Cause: registration and trial_claims called parse_lease in a callback of the event loop, outside of any handler; the JSON library's exception left the loop, and the process exited with status 2.

Why it works: both users of parse_lease now handle its only failure; decode errors of the feed were handled already.

--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -100,8 +100,9 @@
 
 void registration::impl::on_lease(exchange_result const& result)
 {
-    if (!report(succeeded(result))) return retry();
-    lease = codec.parse_lease(result.response);
+    auto const granted = granted_lease(result, codec);
+    if (!report(granted.has_value())) return retry();
+    lease = *granted;
     lease_era = codec.parse_era(result.response);
     step();
 }
--- a/src/gateway/store_channel.cpp
+++ b/src/gateway/store_channel.cpp
@@ -56,4 +56,15 @@
     m_loop.run_at(m_loop.now(), [result = std::move(result), done] { done(result); });
 }
 
+std::optional<std::int64_t> granted_lease(exchange_result const& result, store_codec const& codec)
+{
+    constexpr int status_ok = 200;
+    if (!result.completed || result.response.status != status_ok) return std::nullopt;
+    try {
+        return codec.parse_lease(result.response);
+    } catch (error const&) {
+        return std::nullopt; // The callers log this as a failed call.
+    }
+}
+
 } // namespace cornelspring
--- a/src/gateway/store_channel.hpp
+++ b/src/gateway/store_channel.hpp
@@ -39,4 +39,8 @@
     std::uint64_t m_call_number = 0; ///< Incremented when a call starts or finishes, to detect late results.
 };
 
+/** @return the lease that a call for one was granted; none when the call failed or its response is malformed.
+ *  @param result result of the call. @param codec translates responses of the store. */
+std::optional<std::int64_t> granted_lease(exchange_result const& result, store_codec const& codec);
+
 } // namespace cornelspring
--- a/src/gateway/trial_claims.cpp
+++ b/src/gateway/trial_claims.cpp
@@ -37,8 +37,8 @@
     if (m_in_progress || m_waiting.empty()) return;
     m_in_progress = true;
     m_channel.call(m_store, m_codec.grant_lease(claim_ttl), call_timeout, [this](exchange_result const& result) {
-        if (succeeded(result))
-            create_key(m_codec.parse_lease(result.response));
+        if (auto const lease = granted_lease(result, m_codec))
+            create_key(*lease);
         else
             finish(false);
     });
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <csignal>
+#include <fstream>
 #include <thread>
 
 namespace cornelspring::testing {
@@ -15,6 +17,9 @@
 /** Time-out of a receive call. */
 constexpr int receive_timeout_s = 5;
 
+/** @return @p text as a TOML string. The escapes of JSON are valid in it. */
+std::string toml_text(std::string const& text) { return json(text).dump(-1, ' ', true); }
+
 } // namespace
 
 raw_connection::raw_connection(endpoint const& peer, std::string const& source) : m_fd(socket(AF_INET, SOCK_STREAM, 0))
@@ -82,6 +87,35 @@
     configure(1);
 }
 
+void gateway_fleet::break_store(std::string const& response, std::string const& repeated)
+{
+    processes.stop("store", SIGKILL);
+    processes.stop("raw", SIGKILL);
+    processes.start("raw", "cornel-stand-in",
+                    {"raw", "--set", "port=" + std::to_string(m_store_port), "--set", "response=" + toml_text(response),
+                     "--set", "repeated=" + toml_text(repeated)});
+}
+
+void gateway_fleet::replace_store(int version)
+{
+    processes.stop("raw", SIGKILL);
+    processes.start("store", "cornel-stand-in", {"store", "--set", "port=" + std::to_string(m_store_port)});
+    auto const all = registrations();
+    for (auto const& [id, entry] : all.items())
+        register_backend(id, entry);
+    configure(version);
+}
+
+int gateway_fleet::peak_memory_mib(int number) const
+{
+    std::ifstream status("/proc/" + std::to_string(processes.pid("gw-" + std::to_string(number))) + "/status");
+    for (std::string name; status >> name;) {
+        int kib = 0;
+        if (name == "VmHWM:" && status >> kib) return kib / 1024;
+    }
+    return 0;
+}
+
 json gateway_fleet::post(endpoint const& to, std::string const& path, json const& body)
 {
     raw_connection connection(to);
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -46,6 +46,12 @@
                                std::string const& source = "127.0.0.1");
     /** @return the response to a GET of @p path at @p to; its status is 0 when there was none. */
     static http_response get(endpoint const& to, std::string const& path);
+    /** Replaces the store by a server that sends @p response, and @p repeated without an end, for each read. */
+    void break_store(std::string const& response, std::string const& repeated = "");
+    /** Replaces that server by a new, empty store, and writes all registrations and configuration @p version to it. */
+    void replace_store(int version);
+    /** @return the peak of the memory of gateway @p number in MiB. */
+    int peak_memory_mib(int number) const;
     /** Writes configuration @p version into the store: the gather is over @p shards, all routes have
      * @p home_region_set. @param customers customers in the platform's format; empty: none.
      */
--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -78,6 +78,7 @@
                                    std::vector<std::string> const& args)
 {
     std::string const ready_file = path(name + ".port");
+    std::filesystem::remove(ready_file); // It may be that of an earlier child of the same name.
     std::vector<std::string> all_args = args;
     all_args.push_back("--set");
     all_args.push_back("ready_file=\"" + ready_file + "\"");
--- a/tests/stand_in/main.cpp
+++ b/tests/stand_in/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp cornel-stand-in: stand-in for the users' platform on loopback, for tests and the soak. */
 #include "platform_store.hpp"
+#include "raw_server.hpp"
 #include "shard_server.hpp"
 
 #include <csignal>
@@ -22,6 +23,9 @@
     {"replicas", setting_type::integer, setting_value{std::int64_t{2}}, 1, 10,
      "number of backend servers of each service"},
     {"name", setting_type::text, setting_value{std::string("i")}, 0, 0, "prefix of the ids of the backend servers"},
+    {"response", setting_type::text, setting_value{std::string()}, 0, 0, "bytes that the raw server sends"},
+    {"repeated", setting_type::text, setting_value{std::string()}, 0, 0,
+     "bytes that the raw server sends without an end after them"},
 };
 
 /** Stops the loop on SIGTERM or SIGINT. */
@@ -41,6 +45,22 @@
     return 0;
 }
 
+/** Runs a raw server until it is stopped. */
+int run_raw(settings const& config)
+{
+    constexpr std::size_t block_size = 65536;
+    std::string repeated;
+    while (!config.text("repeated").empty() && repeated.size() < block_size)
+        repeated += config.text("repeated");
+    event_loop loop;
+    stop_on_signals(loop);
+    raw_server server(loop, {"127.0.0.1", static_cast<std::uint16_t>(config.integer("port"))}, config.text("response"),
+                      repeated);
+    write_file_atomic(config.text("ready_file"), std::to_string(server.port()));
+    loop.run();
+    return 0;
+}
+
 /** Backend servers with a control API: /entries (their registrations), /journal (received requests), /behave (faults).
  */
 class shard_fleet {
@@ -140,13 +160,13 @@
 int run(settings const& config, std::vector<std::string> const& args)
 {
     if (args.size() == 1 && args[0] == "store") return run_store(config);
+    if (args.size() == 1 && args[0] == "raw") return run_raw(config);
     if (args.size() == 1 && args[0] == "backends") {
         shard_fleet fleet(config);
         fleet.run();
         return 0;
     }
-    throw error(error_kind::bad_settings, "no component named.",
-                "Run 'cornel-stand-in store' or 'cornel-stand-in backends'.");
+    throw error(error_kind::bad_settings, "no component named.", "Run 'cornel-stand-in' with store, backends or raw.");
 }
 
 } // namespace
--- a/tests/test_endless_responses.cpp
+++ b/tests/test_endless_responses.cpp
@@ -4,7 +4,6 @@
 #include <doctest/doctest.h>
 
 #include <array>
-#include <fstream>
 #include <thread>
 
 using namespace cornelspring;
@@ -12,17 +11,6 @@
 
 namespace {
 
-/** @return the peak of the memory of gateway @p number in MiB. */
-int peak_memory_mib(gateway_fleet const& fleet, int number)
-{
-    std::ifstream status("/proc/" + std::to_string(fleet.processes.pid("gw-" + std::to_string(number))) + "/status");
-    for (std::string name; status >> name;) {
-        int kib = 0;
-        if (name == "VmHWM:" && status >> kib) return kib / 1024;
-    }
-    return 0;
-}
-
 /** Memory of the smallest VM of the users' platform. */
 constexpr int vm_memory_mib = 160;
 
@@ -45,7 +33,7 @@
         }
         fleet.set_backend_behavior({{"mode", "ok"}});
     }
-    CHECK(peak_memory_mib(fleet, 1) < vm_memory_mib);
+    CHECK(fleet.peak_memory_mib(1) < vm_memory_mib);
 }
 
 TEST_CASE("backend servers that all send bytes without an end do not exhaust the memory of a gateway")
@@ -66,5 +54,5 @@
         fleet.set_backend_behavior({{"mode", "ok"}});
         CHECK(within_ten_seconds([&] { return fleet.send_request(1, "/q/z", mode + "-after").status == 200; }));
     }
-    CHECK(peak_memory_mib(fleet, 1) < vm_memory_mib);
+    CHECK(fleet.peak_memory_mib(1) < vm_memory_mib);
 }
