Platform: deeply nested responses of the store do not exhaust the memory

What callers saw: the store's address sent "[" without an end as the body of a response. On a VM the process would have been killed, and with it the requests of all its callers.

Cause: decode_batch gave the body to the JSON library as it was. Each level of nesting takes about 56 bytes for one byte of input; the number of values was not limited either.

Bodies without an end from backend servers were bounded before; test_endless_responses.cpp stays as it is.

--- a/tests/test_broken_store.cpp
+++ b/tests/test_broken_store.cpp
@@ -77,6 +77,23 @@
     check_serving(fleet);
 }
 
+TEST_CASE("a store whose responses have no end does not exhaust the memory of a gateway")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    for (auto const& [start, repeated] : endless_responses) {
+        CAPTURE(start);
+        CAPTURE(repeated);
+        fleet.break_store(start, repeated);
+        std::this_thread::sleep_for(2 * broken_for);
+        check_serving(fleet);
+        CHECK(fleet.peak_memory_mib(1) < vm_memory_mib);
+    }
+    fleet.replace_store(2);
+    CHECK(within_ten_seconds([&] { return fleet.call_store("keys").contains("gateways/d1/gw-1"); }));
+    check_serving(fleet);
+}
+
 TEST_CASE("a gateway starts when the responses of the store are broken no longer")
 {
     gateway_fleet fleet;
