Gateway: a request that becomes complete at the end of a stop is not passed on

What callers saw: in a planned stop in calm, a request that began to arrive before the gateway stopped accepting and became complete in its last moments was passed on. At the end of the grace time callers got 504, or in the last 50 ms no response at all, also for requests that may not be repeated, although their backend servers were at work on them.

Cause: stop_listening() closes idle connections; a connection on which a request has started to arrive stays open, and its request was handled as at any other time. finish_all() responds to all requests 50 ms before the loop ends; those that came after it were cut.

Change: from the moment when the gateway stops accepting, 1.2 s before the end of its stop, new requests get a 503 with Retry-After at once: they have not run, and the caller can use another VM.

Why it works: a request that is passed on now has at least the 1.2 s of drain_time, and finish_all() runs when no request can follow it.

--- a/include/cornelspring/dispatch.hpp
+++ b/include/cornelspring/dispatch.hpp
@@ -343,6 +343,8 @@
     void on_process_paused(clock::duration length);
     /** @return the demand of this VM and the shares that it applies, for the calls to the collector. */
     demand_log& demand();
+    /** Rejects new requests from now on, as this process stops before they could finish. */
+    void reject_new_requests();
     /** Finishes every open request now. The response says so if the request has certainly not run.
      *  @param now current time. */
     void finish_all(time_point now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -272,15 +272,17 @@
 
 demand_log& dispatcher::demand() { return m_impl->demand; }
 
+void dispatcher::reject_new_requests() { m_impl->stopping = true; }
+
 void dispatcher::finish_all(time_point now)
 {
     for (auto& [key, waiter] : std::exchange(m_impl->awaiting_quota, {})) {
-        auto response = m_impl->rejection("this gateway stops", m_impl->options.retry_after_s);
+        auto response = m_impl->stop_rejection();
         m_impl->quotas.stop_waiting(waiter.summary.customer);
         m_impl->respond_immediately(request_key(key), std::move(waiter.summary), std::move(response), "stopping");
     }
     for (auto& [digest, waiter] : std::exchange(m_impl->awaiting_trial, {})) {
-        auto response = m_impl->rejection("this gateway stops", m_impl->options.retry_after_s);
+        auto response = m_impl->stop_rejection();
         m_impl->respond_immediately(waiter.key, std::move(waiter.summary), std::move(response), "stopping");
     }
     std::vector<request_key> keys;
--- a/src/dispatch/dispatcher_arrival.cpp
+++ b/src/dispatch/dispatcher_arrival.cpp
@@ -51,6 +51,10 @@
     summary.request_id = message.header(options.names.request_id);
     summary.caller = std::move(caller);
     summary.quota_wait = std::chrono::duration_cast<milliseconds>(timing.quota_wait);
+    if (stopping) {
+        respond_immediately(key, summary, stop_rejection(), "stopping");
+        return;
+    }
     if (!config) {
         respond_immediately(key, summary, rejection("no configuration is known yet", no_config_retry_after_s(now)),
                             "starting");
--- a/src/dispatch/dispatcher_impl.hpp
+++ b/src/dispatch/dispatcher_impl.hpp
@@ -37,6 +37,7 @@
     std::map<std::string, trial_waiter> awaiting_trial;       ///< Requests that wait for a trial, by digest.
     std::unordered_map<std::uint64_t, open_attempt> attempts; ///< Attempts in flight by id.
     std::set<std::pair<time_point, std::uint64_t>> due;       ///< Timers of requests, by time.
+    bool stopping = false;                                    ///< New requests are rejected.
     std::deque<std::pair<time_point, attempt_id>> observed;   ///< Attempts that run on for measurement, by cancel time.
     std::map<std::string, admission_control> admissions;      ///< Admission control by the first shard of a gather.
     demand_log demand;                                        ///< Demand, and the shares of admission control.
@@ -67,6 +68,8 @@
         response.headers.push_back({"retry-after", retry_after(min_s)});
         return response;
     }
+    /** @return the rejection of a request that this process could not finish before it stops. */
+    http_response stop_rejection() { return rejection("this gateway stops", options.retry_after_s); }
 
     /** Sends the response to a request that is not processed any further. */
     void respond_immediately(request_key key, request_summary summary, http_response response, char const* reason)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -217,6 +217,8 @@
         stopped_accepting = true;
         member_registration->revoke();
         callers->stop_listening();
+        // A request whose start had arrived may still become complete, too late to be passed on.
+        requests->reject_new_requests();
     }
     bool const idle = stopped_accepting && requests->open_requests() == 0 && callers->connections() == 0;
     if (idle || now >= stop_started_at + settings.stop_timeout) {
