HTTP/2: invalid and endless responses are no responses for the client

What callers saw: cornel-entry took a response with the status 000, 099, 600 or 999 for a response, and the fields of interim responses and trailers for fields of the header. It uses only 200, so no caller got one of these. Bodies and interim responses without an end were kept until the deadline of the call: memory without a bound.

Cause: the client of nghttp2 checks that a status has three digits, not its range; the callbacks stored whatever came.

Change: parse_status() is the one definition of a valid status, for HTTP/1.1 and HTTP/2. The call ends as unknown: it may have run. Headers of interim responses and trailers are dropped. This serves queries, writes, the store, the VM list, cornel-ctl and cornel-load's calls to stand-ins.

Why it works: all bytes that the client keeps of a response pass one of two functions, which know the limits.

--- a/include/cornelspring/net.hpp
+++ b/include/cornelspring/net.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -305,6 +306,10 @@
     std::unique_ptr<impl> m_impl; ///< Parser and current message.
 };
 
+/** @return the status of a response in @p text; none unless it has three digits and is from 100 to 599 (RFC 9110, 15).
+ *  @param text the status. */
+std::optional<int> parse_status(std::string_view text);
+
 /** @return whether the header names @p left and @p right are equal, ignoring case. */
 bool same_header(std::string_view left, std::string_view right);
 /** @return whether header @p name must not be forwarded: hop-by-hop (RFC 9110, 7.6.1), or Content-Length or Expect. */
--- a/include/cornelspring/transport.hpp
+++ b/include/cornelspring/transport.hpp
@@ -78,7 +78,7 @@
 enum class send_outcome {
     answered, ///< A response arrived.
     not_sent, ///< It did not run: no byte of it left this process, or the peer refused the stream unprocessed.
-    unknown,  ///< It may have run: sent, but no complete response arrived (timeout, reset, closed connection).
+    unknown,  ///< It may have run: sent, but no complete, valid response arrived (timeout, reset, closed connection).
 };
 
 /** Result of one request to a peer. */
@@ -94,12 +94,15 @@
 /** Identifies a submitted request for cancellation. */
 using call_id = strong_id<struct call_id_tag, std::uint64_t>;
 
-/** Limits of the client's connections. */
+/** Limits of the client's connections and of the responses to it. */
 struct client_options {
     milliseconds connect_timeout{1000}; ///< Longest wait for a TCP connection.
-    milliseconds ping_after{500};   ///< With calls in flight, a PING is sent after this long without a byte received.
-    milliseconds ping_timeout{500}; ///< A connection that receives no byte within this time after a PING is closed.
-    milliseconds retire_after{100}; ///< A timed-out call retires its connection if no byte arrived for this long.
+    milliseconds ping_after{500};     ///< With calls in flight, a PING is sent after this long without a byte received.
+    milliseconds ping_timeout{500};   ///< A connection that receives no byte within this time after a PING is closed.
+    milliseconds retire_after{100};   ///< A timed-out call retires its connection if no byte arrived for this long.
+    message_limits response_limits{}; ///< Limits on the size of a response.
+    /** Limit on the bytes of the bodies of all incomplete responses. Beyond it the largest one is rejected. */
+    std::size_t max_incomplete_bytes = 64 << 20;
 };
 
 /** Counters of a client since its start. */
--- a/src/net/response_syntax.cpp
+++ b/src/net/response_syntax.cpp
@@ -1,6 +1,8 @@
 /** @file response_syntax.cpp Strict check of the bytes of HTTP/1.1 responses. */
 #include "response_syntax.hpp"
 
+#include <cornelspring/net.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -46,20 +48,30 @@
     return std::all_of(name.begin(), name.end(), [](char c) { return is_token(c); }) && is_text(line.substr(colon + 1));
 }
 
-/** @return whether @p line is a status line with a status from 100 to 599 (RFC 9110, 15; RFC 9112, 4). */
+/** @return whether @p line is a status line (RFC 9112, 4). */
 bool is_status_line(std::string_view line)
 {
     if (line.size() < status_line_size || !line.starts_with(version_prefix)) return false;
     bool const version = is_digit(line[version_prefix.size()]) && line[status_at - 1] == ' ';
-    auto const status = line.substr(status_at, status_line_size - status_at);
-    bool const in_range = status[0] >= '1' && status[0] <= '5' && is_digit(status[1]) && is_digit(status[2]);
+    auto const status = parse_status(line.substr(status_at, status_line_size - status_at));
     auto const reason = line.substr(status_line_size);
     // Some servers leave out the space before an empty reason phrase.
-    return version && in_range && (reason.empty() || reason[0] == ' ') && is_text(reason);
+    return version && status && (reason.empty() || reason[0] == ' ') && is_text(reason);
 }
 
 } // namespace
 
+std::optional<int> parse_status(std::string_view text)
+{
+    constexpr std::size_t digits = 3;
+    int status = 0;
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), status);
+    bool const whole = text.size() == digits && failure == std::errc() && end == text.data() + text.size();
+    constexpr int lowest = 100;
+    constexpr int highest = 599;
+    return whole && status >= lowest && status <= highest ? std::optional(status) : std::nullopt;
+}
+
 void response_syntax::start_response()
 {
     m_part = part::status_line;
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -19,6 +19,7 @@
 
 void h2_client::impl::unregister_call(h2_call const& call)
 {
+    incomplete_bytes -= call.response.body.size();
     deadlines.erase({call.deadline, call.id});
     if (auto* connection = find_connection(call.connection_id)) connection->calls.erase(call.id);
 }
@@ -37,6 +38,27 @@
     if (call.done) call.done(std::move(result));
 }
 
+void h2_client::impl::reject_response(h2_call const& call, std::string detail)
+{
+    reset_stream(call);
+    finish(call.id, send_outcome::unknown, std::move(detail));
+}
+
+void h2_client::impl::append_body(h2_call& call, std::string_view bytes)
+{
+    if (call.response.body.size() + bytes.size() > options.response_limits.max_body_bytes) {
+        reject_response(call, "the body of the response exceeds the limit");
+        return;
+    }
+    call.response.body.append(bytes);
+    incomplete_bytes += bytes.size();
+    if (incomplete_bytes <= options.max_incomplete_bytes) return;
+    auto const largest = std::max_element(calls.begin(), calls.end(), [](auto const& left, auto const& right) {
+        return left.second.response.body.size() < right.second.response.body.size();
+    });
+    reject_response(largest->second, "too many bytes of incomplete responses");
+}
+
 void h2_client::impl::cancel_call(std::uint64_t id)
 {
     auto found = calls.find(id);
--- a/src/transport/h2_client_impl.hpp
+++ b/src/transport/h2_client_impl.hpp
@@ -25,7 +25,9 @@
     std::uint64_t connection_id = 0; ///< Connection it uses, or 0.
     std::int32_t stream_id = -1;     ///< Stream; -1 until it is submitted.
     bool sent = false;               ///< Its HEADERS frame was serialised for sending.
-    bool has_status = false;         ///< A :status header was received.
+    bool has_status = false;         ///< The status of a response, interim or final, was received.
+    bool header_complete = false;    ///< The header of the final response was received; trailers may follow.
+    std::size_t header_bytes = 0;    ///< Bytes of all headers and trailers so far, those of interim responses included.
     http_response response;          ///< Response received so far.
     std::size_t body_offset = 0;     ///< Request body bytes handed to nghttp2.
 };
@@ -67,6 +69,7 @@
     nghttp2_session_callbacks* callbacks = nullptr;       ///< nghttp2 callback table.
     time_point next_check;                                ///< Time of the next check_connections().
     bool has_broken = false;                              ///< Some connection is marked broken.
+    std::size_t incomplete_bytes = 0;                     ///< Bytes of the bodies of all incomplete responses.
     std::atomic<std::uint64_t> opened{0};                 ///< See client_stats.
     std::atomic<std::uint64_t> silent{0};                 ///< See client_stats.
     std::atomic<std::uint64_t> sent_bytes{0};             ///< See client_stats.
@@ -98,6 +101,10 @@
     void poll_write(h2_connection& connection, bool wanted);
     /** Sends RST_STREAM for a call's stream. */
     void reset_stream(h2_call const& call);
+    /** Finishes a call whose response is invalid or too large, and resets its stream. */
+    void reject_response(h2_call const& call, std::string detail);
+    /** Appends to the body of a response, or rejects the response. */
+    void append_body(h2_call& call, std::string_view bytes);
     /** Removes a call and runs its callback with the result. */
     void finish(std::uint64_t id, send_outcome outcome, std::string detail);
     /** Removes a call's deadline and its entry in its connection. */
--- a/src/transport/h2_client_streams.cpp
+++ b/src/transport/h2_client_streams.cpp
@@ -6,6 +6,9 @@
 namespace cornelspring {
 namespace {
 
+/** Size of a field beyond its name and value (RFC 9113, 6.5.2). */
+constexpr std::size_t field_overhead = 32;
+
 /** @return the client that was passed to nghttp2 as user data. */
 h2_client::impl& state_of(void* user_data) { return *static_cast<h2_client::impl*>(user_data); }
 
@@ -21,14 +24,28 @@
 
     static int on_frame_recv(nghttp2_session* session, nghttp2_frame const* frame, void* user_data)
     {
-        if (frame->hd.type != NGHTTP2_GOAWAY) return 0;
         auto& self = state_of(user_data);
+        if (frame->hd.type == NGHTTP2_HEADERS) {
+            if (auto* call = self.call_of_stream(session, frame->hd.stream_id)) on_header_complete(*call);
+            return 0;
+        }
+        if (frame->hd.type != NGHTTP2_GOAWAY) return 0;
         for (auto& [id, connection] : self.connections) {
             if (connection->session == session) self.retire(*connection);
         }
         return 0;
     }
 
+    /** Handles the end of a header. One of an interim response is discarded. */
+    static void on_header_complete(h2_call& call)
+    {
+        if (call.header_complete) return; // Trailers.
+        call.header_complete = call.response.status / 100 != 1;
+        if (call.header_complete) return;
+        call.has_status = false;
+        call.response.headers.clear();
+    }
+
     static int on_header(nghttp2_session* session, nghttp2_frame const* frame, uint8_t const* name, size_t name_length,
                          uint8_t const* value, size_t value_length, uint8_t, void* user_data)
     {
@@ -37,9 +54,16 @@
         if (call == nullptr) return 0;
         std::string key(reinterpret_cast<char const*>(name), name_length);
         std::string text(reinterpret_cast<char const*>(value), value_length);
-        if (key == ":status") {
-            call->response.status = std::atoi(text.c_str());
-            call->has_status = true;
+        call->header_bytes += name_length + value_length + field_overhead;
+        if (call->header_bytes > self.options.response_limits.max_header_bytes) {
+            self.reject_response(*call, "the header of the response exceeds the limit");
+        } else if (call->header_complete) {
+            // Trailers are not merged into the header (RFC 9110, 6.5.1).
+        } else if (key == ":status") {
+            auto const status = parse_status(text);
+            call->has_status = status.has_value();
+            call->response.status = status.value_or(0);
+            if (!status) self.reject_response(*call, "the status of the response is invalid");
         } else {
             call->response.headers.push_back({std::move(key), std::move(text)});
         }
@@ -50,9 +74,8 @@
                              void* user_data)
     {
         auto& self = state_of(user_data);
-        if (auto* call = self.call_of_stream(session, stream_id)) {
-            call->response.body.append(reinterpret_cast<char const*>(data), length);
-        }
+        if (auto* call = self.call_of_stream(session, stream_id))
+            self.append_body(*call, {reinterpret_cast<char const*>(data), length});
         return 0;
     }
 
