Entry node: an odd entry in the store does not end the process

What callers saw: another program wrote a registration of an entry node whose address was a number, or an entry that is nested very deeply. Every cornel-entry that read the list ended, and ended again after each restart.

Cause: config_view read fields of members outside of any handler, on a thread that handles only the project's errors. Resources were copied as JSON before they were checked; the JSON library copies recursively, so that 300,000 levels overflow the stack. cornel-ctl printed entries the same way.

Why it works: nothing of an entry is used or copied before its shape has been checked.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -27,10 +27,21 @@
                               "  watch [KIND]          print changes as JSON lines\n"
                               "KIND is service, backend or route.\n";
 
+/** @return @p value as JSON text. Bytes that are not UTF-8, which other programs may have stored, are replaced. */
+std::string to_text(nlohmann::json const& value, int indent = -1)
+{
+    return value.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 /** @return the JSON to print for the stored resource @p kv. */
 nlohmann::json resource_json(key_value const& kv)
 {
-    auto body = nlohmann::json::parse(kv.value, nullptr, false);
+    nlohmann::json body;
+    try {
+        body = checked::parse(kv.value, checked::encoding::json);
+    } catch (error const&) {
+        // Printed as it is below.
+    }
     if (!body.is_object()) body = {{"raw", kv.value}};
     body["revision"] = kv.mod_revision;
     return body;
@@ -75,7 +86,7 @@
         throw error(error_kind::not_found, to_string(kind) + "/" + name + " does not exist.",
                     "Run 'cornel-ctl list " + to_string(kind) + "' to see what exists.");
     }
-    std::cout << resource_json(*found).dump(2) << "\n";
+    std::cout << to_text(resource_json(*found), 2) << "\n";
     return 0;
 }
 
@@ -84,7 +95,7 @@
 {
     auto const read = store.range_prefix(std::string(resource_prefix) + to_string(kind) + "/");
     for (auto const& kv : read.kvs)
-        std::cout << resource_json(kv).dump() << "\n";
+        std::cout << to_text(resource_json(kv)) << "\n";
     return 0;
 }
 
@@ -138,7 +149,7 @@
                                 {"key", event.kv.key},
                                 {"revision", event.kv.mod_revision}};
             if (!event.is_delete) line["resource"] = resource_json(event.kv);
-            std::cout << line.dump() << std::endl;
+            std::cout << to_text(line) << std::endl;
             after = std::max(after, event.kv.mod_revision);
             if (max_events != 0 && ++printed >= max_events) break;
         }
--- a/src/state/config_view.cpp
+++ b/src/state/config_view.cpp
@@ -1,4 +1,5 @@
 /** @file config_view.cpp The entry node's monotonic view of the configuration. */
+#include <cornelspring/checked.hpp>
 #include <cornelspring/state.hpp>
 
 namespace cornelspring {
@@ -26,9 +27,13 @@
             snapshot.members.erase(member_id);
             return;
         }
-        auto const body = nlohmann::json::parse(event.kv.value, nullptr, false);
-        if (body.is_object()) {
-            snapshot.members[member_id] = {member_id, body.value("address", ""), body.value("failure_domain", "")};
+        try {
+            auto const decode = [&member_id](nlohmann::json const& body) {
+                return member{member_id, body.value("address", ""), body.value("failure_domain", "")};
+            };
+            snapshot.members[member_id] = checked::decode(event.kv.value, checked::encoding::json, decode);
+        } catch (error const&) {
+            // Ignores a value that cannot be parsed: no entry node wrote it.
         }
         return;
     }
@@ -51,7 +56,7 @@
         return;
     }
     try {
-        auto const value = resource_from_json(nlohmann::json::parse(event.kv.value));
+        auto const value = resource_from_json(checked::parse(event.kv.value, checked::encoding::json));
         if (auto const* s = std::get_if<service_spec>(&value.spec)) snapshot.services[name] = *s;
         if (auto const* b = std::get_if<backend_spec>(&value.spec)) snapshot.backends[name] = *b;
         if (auto const* r = std::get_if<route_spec>(&value.spec)) snapshot.routes[name] = *r;
