Entry node: a malformed response of the store or the VM list does not end the process

What callers saw: while the store answered with JSON of another shape, cornel-entry ended ("key 'header' not found", "terminate called"); the same with a VM list whose fields have other types.

Cause: store_client read fields of responses with the JSON library's exceptions, and numbers with std::stoll's. Its users run on threads that handle only the project's errors.

Change: store_client::call() decodes all responses in one place, with limits on size and nesting, and reports a malformed one as outcome_unknown, since a write that got it may have taken effect. json_int64() refuses what is not a number of 64 bits. The VM list is decoded the same way; a malformed one is logged and the last list kept.

Evidence: "broken responses of the store and of the VM list do not end an entry node": 16 bodies, an HTTP/2 server in place of both. Before, the process was gone at "[]" (exit status 134) and could not start with "{}"; now it serves /healthz, refuses writes and stops normally with each.

Why it works: only one kind of error leaves store_client, and all its users handle that.

--- a/include/cornelspring/coordination.hpp
+++ b/include/cornelspring/coordination.hpp
@@ -76,8 +76,12 @@
     watch_batch watch_prefix(std::string const& prefix, std::int64_t after, milliseconds wait);
 
 private:
-    /** Posts @p body to @p path. @return the parsed response. */
-    nlohmann::json call(std::string const& path, nlohmann::json const& body, milliseconds timeout);
+    /** Posts @p body to @p path. @return the response, whose status is 200. */
+    http_response send(std::string const& path, nlohmann::json const& body, milliseconds timeout);
+    /** Posts @p body to @p path. @return what @p decode returns for the JSON of the response. @throw error
+     *  outcome_unknown when the response is malformed: a write may have taken effect. */
+    template <typename Decode>
+    auto call(std::string const& path, nlohmann::json const& body, milliseconds timeout, Decode const& decode);
 
     h2_client& m_client;    ///< Transport.
     endpoint m_store;       ///< Store address.
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -1,9 +1,13 @@
 /** @file store_client.cpp Calls to the store's etcd v3 JSON gateway, with typed failures. */
+#include <cornelspring/checked.hpp>
 #include <cornelspring/coordination.hpp>
 
 namespace cornelspring {
 namespace {
 
+/** Most bytes of a response: the complete configuration of a fleet. */
+constexpr std::size_t max_response_bytes = 16 << 20;
+
 /** Added to the wait of a watch call as its timeout, so that the store responds before the call times out. */
 constexpr milliseconds watch_timeout_margin{2000};
 
@@ -25,6 +29,29 @@
     return cluster_id(response.at("header").value("cluster_id", std::string()));
 }
 
+/** @return the revision in the header of @p response. */
+std::int64_t revision_of(nlohmann::json const& response) { return json_int64(response.at("header").at("revision")); }
+
+/** @return the items in @p response. */
+std::vector<key_value> items_of(nlohmann::json const& response)
+{
+    auto const found = response.find("kvs");
+    return found == response.end() ? std::vector<key_value>{} : found->get<std::vector<key_value>>();
+}
+
+/** @return the error that @p response, whose status is not 200, reports. */
+error error_of(http_response const& response)
+{
+    auto const body = nlohmann::json::parse(response.body, nullptr, false);
+    auto const text = [&body](char const* name, std::string const& fallback) {
+        if (!body.is_object()) return fallback;
+        auto const found = body.find(name);
+        return found != body.end() && found->is_string() ? found->get<std::string>() : fallback;
+    };
+    return {kind_for_status(response.status), "store: " + text("message", response.body),
+            text("remedy", "Try again later.")};
+}
+
 } // namespace
 
 store_client::store_client(h2_client& client, endpoint store, milliseconds timeout)
@@ -32,7 +59,7 @@
 {
 }
 
-nlohmann::json store_client::call(std::string const& path, nlohmann::json const& body, milliseconds timeout)
+http_response store_client::send(std::string const& path, nlohmann::json const& body, milliseconds timeout)
 {
     auto result = m_client.call(m_store, json_post(path, body.dump()), timeout);
     if (result.outcome == send_outcome::not_sent) {
@@ -45,58 +72,61 @@
                     "no response from the store at " + m_store.to_string() + " (" + result.detail + ").",
                     "Read the key back before repeating a write; it may have taken effect.");
     }
-    auto response = nlohmann::json::parse(result.response.body, nullptr, false);
-    if (result.response.status != 200) {
-        std::string const message =
-            response.is_object() ? response.value("message", result.response.body) : result.response.body;
-        std::string const remedy =
-            response.is_object() ? response.value("remedy", std::string("Try again later.")) : "Try again later.";
-        throw error(kind_for_status(result.response.status), "store: " + message, remedy);
-    }
-    if (response.is_discarded()) {
-        throw error(error_kind::internal, "the store sent a response body that is not JSON.",
-                    "Check the store's version.");
+    constexpr int status_ok = 200;
+    if (result.response.status != status_ok) throw error_of(result.response);
+    return std::move(result.response);
+}
+
+template <typename Decode>
+auto store_client::call(std::string const& path, nlohmann::json const& body, milliseconds timeout, Decode const& decode)
+{
+    auto const response = send(path, body, timeout);
+    try {
+        return checked::decode(response.body, checked::encoding::json, decode, max_response_bytes);
+    } catch (error const& failure) {
+        throw error(error_kind::outcome_unknown, "the store at " + m_store.to_string() + ": " + failure.message(),
+                    "Check the store's address and version; read the key back before repeating a write.");
     }
-    return response;
 }
 
 range_result store_client::range_prefix(std::string const& prefix)
 {
-    auto const response =
-        call(store_paths::range, {{"key", base64_encode(prefix)}, {"range_end", base64_encode(prefix_end(prefix))}},
-             m_timeout);
-    return {response.value("kvs", nlohmann::json::array()).get<std::vector<key_value>>(),
-            json_int64(response.at("header").at("revision")), cluster_of(response)};
+    return call(store_paths::range, {{"key", base64_encode(prefix)}, {"range_end", base64_encode(prefix_end(prefix))}},
+                m_timeout, [](nlohmann::json const& response) {
+                    return range_result{items_of(response), revision_of(response), cluster_of(response)};
+                });
 }
 
 std::pair<std::optional<key_value>, std::int64_t> store_client::get(std::string const& key)
 {
-    auto const response = call(store_paths::range, {{"key", base64_encode(key)}}, m_timeout);
-    auto const kvs = response.value("kvs", nlohmann::json::array()).get<std::vector<key_value>>();
-    std::optional<key_value> found;
-    if (!kvs.empty()) found = kvs.front();
-    return {found, json_int64(response.at("header").at("revision"))};
+    return call(store_paths::range, {{"key", base64_encode(key)}}, m_timeout, [](nlohmann::json const& response) {
+        auto const kvs = items_of(response);
+        std::optional<key_value> found;
+        if (!kvs.empty()) found = kvs.front();
+        return std::pair(found, revision_of(response));
+    });
 }
 
 std::int64_t store_client::put(std::string const& key, std::string const& value, std::int64_t lease)
 {
     nlohmann::json body{{"key", base64_encode(key)}, {"value", base64_encode(value)}};
     if (lease != 0) body["lease"] = std::to_string(lease);
-    return json_int64(call(store_paths::put, body, m_timeout).at("header").at("revision"));
+    return call(store_paths::put, body, m_timeout, revision_of);
 }
 
 txn_result store_client::txn(txn_request const& request)
 {
-    auto const response = call(store_paths::txn, nlohmann::json(request), m_timeout);
-    txn_result result;
-    result.succeeded = response.value("succeeded", false);
-    result.revision = json_int64(response.at("header").at("revision"));
-    for (auto const& operation : response.value("responses", nlohmann::json::array())) {
-        if (!operation.contains("response_range")) continue;
-        auto kvs = operation["response_range"].value("kvs", nlohmann::json::array()).get<std::vector<key_value>>();
-        result.range_kvs.insert(result.range_kvs.end(), kvs.begin(), kvs.end());
-    }
-    return result;
+    return call(store_paths::txn, nlohmann::json(request), m_timeout, [](nlohmann::json const& response) {
+        txn_result result;
+        result.succeeded = response.value("succeeded", false);
+        result.revision = revision_of(response);
+        for (auto const& operation : response.value("responses", nlohmann::json::array())) {
+            if (!operation.contains("response_range")) continue;
+            auto const kvs = items_of(operation["response_range"]);
+            result.range_kvs.insert(result.range_kvs.end(), kvs.begin(), kvs.end());
+        }
+        return result;
+    });
 }
 
 txn_result store_client::compare_and_swap(std::string const& key, std::int64_t expected, std::string const& value,
@@ -135,18 +165,21 @@
 
 granted_lease store_client::grant_lease(std::int64_t ttl_s)
 {
-    auto const response = call(store_paths::lease_grant, {{"TTL", std::to_string(ttl_s)}, {"ID", "0"}}, m_timeout);
-    return {json_int64(response.at("ID")), cluster_of(response)};
+    return call(store_paths::lease_grant, {{"TTL", std::to_string(ttl_s)}, {"ID", "0"}}, m_timeout,
+                [](nlohmann::json const& response) {
+                    return granted_lease{json_int64(response.at("ID")), cluster_of(response)};
+                });
 }
 
 cluster_id store_client::keep_alive(std::int64_t lease)
 {
-    return cluster_of(call(store_paths::lease_keepalive, {{"ID", std::to_string(lease)}}, m_timeout).at("result"));
+    return call(store_paths::lease_keepalive, {{"ID", std::to_string(lease)}}, m_timeout,
+                [](nlohmann::json const& response) { return cluster_of(response.at("result")); });
 }
 
 void store_client::revoke(std::int64_t lease)
 {
-    call(store_paths::lease_revoke, {{"ID", std::to_string(lease)}}, m_timeout);
+    send(store_paths::lease_revoke, {{"ID", std::to_string(lease)}}, m_timeout);
 }
 
 watch_batch store_client::watch_prefix(std::string const& prefix, std::int64_t after, milliseconds wait)
@@ -156,16 +189,18 @@
                           {"range_end", base64_encode(prefix_end(prefix))},
                           {"start_revision", std::to_string(after + 1)}}},
                         {"progress_timeout_ms", wait.count()}};
-    auto const response = call(store_paths::watch, body, wait + watch_timeout_margin);
-    auto const& result = response.at("result");
-    watch_batch batch;
-    batch.revision = json_int64(result.at("header").at("revision"));
-    batch.cluster = cluster_of(result);
-    batch.compacted = result.value("canceled", false);
-    for (auto const& item : result.value("events", nlohmann::json::array())) {
-        batch.events.push_back({item.value("type", std::string("PUT")) == "DELETE", item.at("kv").get<key_value>()});
-    }
-    return batch;
+    return call(store_paths::watch, body, wait + watch_timeout_margin, [](nlohmann::json const& response) {
+        auto const& result = response.at("result");
+        watch_batch batch;
+        batch.revision = revision_of(result);
+        batch.cluster = cluster_of(result);
+        batch.compacted = result.value("canceled", false);
+        for (auto const& item : result.value("events", nlohmann::json::array())) {
+            bool const is_delete = item.value("type", std::string("PUT")) == "DELETE";
+            batch.events.push_back({is_delete, item.at("kv").get<key_value>()});
+        }
+        return batch;
+    });
 }
 
 } // namespace cornelspring
--- a/src/coordination/vm_list_watcher.cpp
+++ b/src/coordination/vm_list_watcher.cpp
@@ -1,4 +1,5 @@
 /** @file vm_list_watcher.cpp Reads the leaving backend servers from the platform's VM list. */
+#include <cornelspring/checked.hpp>
 #include <cornelspring/coordination.hpp>
 
 namespace cornelspring {
@@ -36,11 +37,18 @@
     request.path = paths::vms;
     auto const result = m_client.call(m_options.address, std::move(request), m_options.timeout);
     if (result.outcome != send_outcome::answered || result.response.status != 200) return; // keep the last list
-    auto const body = nlohmann::json::parse(result.response.body, nullptr, false);
-    if (!body.is_object()) return;
+    auto const decode = [](nlohmann::json const& body) {
+        std::set<std::string> found;
+        for (auto const& vm : body.at("vms"))
+            if (vm.value("state", "live") != "live") found.insert(vm.value("address", ""));
+        return found;
+    };
     std::set<std::string> leaving;
-    for (auto const& vm : body.value("vms", nlohmann::json::array())) {
-        if (vm.is_object() && vm.value("state", "live") != "live") leaving.insert(vm.value("address", ""));
+    try {
+        leaving = checked::decode(result.response.body, checked::encoding::json, decode);
+    } catch (error const& failure) {
+        LOG4CPLUS_WARN(get_logger("entry.vm_list"), "kept the last VM list: " << failure.what());
+        return;
     }
     m_client.post(
         [this, leaving = std::move(leaving)]() mutable { m_tracker.set_leaving_addresses(std::move(leaving)); });
--- a/src/protocol/etcd.cpp
+++ b/src/protocol/etcd.cpp
@@ -1,6 +1,9 @@
 /** @file etcd.cpp JSON codecs of the store's API (etcd v3 JSON gateway): base64 keys and values, int64 as strings. */
 #include <cornelspring/protocol.hpp>
 
+#include <charconv>
+#include <limits>
+
 #include <libwebsockets.h>
 
 namespace cornelspring {
@@ -29,8 +32,15 @@
 
 std::int64_t json_int64(nlohmann::json const& value)
 {
-    if (value.is_string()) return std::stoll(value.get<std::string>());
-    return value.get<std::int64_t>();
+    if (!value.is_string())
+        return checked::integer(value, std::numeric_limits<std::int64_t>::min(),
+                                std::numeric_limits<std::int64_t>::max());
+    auto const& text = value.get_ref<std::string const&>();
+    std::int64_t number = 0;
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failure != std::errc() || end != text.data() + text.size())
+        throw checked::malformed("a number is malformed or out of range");
+    return number;
 }
 
 std::string prefix_end(std::string const& prefix)
--- a/tests/test_broken_entry_input.cpp
+++ b/tests/test_broken_entry_input.cpp
@@ -79,3 +79,32 @@
     d.wait_for_full_coverage();
 }
 
+TEST_CASE("broken responses of the store and of the VM list do not end an entry node")
+{
+    deployment d; // For its clients and processes.
+    int number = 0;
+    for (std::string const& broken :
+         {std::string(), std::string("abc"), std::string("[]"), std::string("{}"), std::string("null"),
+          std::string(R"({"header":5})"), std::string(R"({"header":{"revision":"x"},"kvs":[],"ID":"x"})"),
+          std::string(R"({"header":{"revision":"99999999999999999999"},"kvs":[],"ID":"99999999999999999999"})"),
+          std::string(R"({"header":{"revision":1,"cluster_id":5},"kvs":5,"ID":{}})"),
+          std::string(R"({"header":{"revision":1},"kvs":[{"key":5}],"result":{"header":5}})"),
+          std::string(R"({"header":{"revision":1},"kvs":[],"ID":"1","result":{"header":{"revision":1},"events":[5]}})"),
+          std::string(R"({"vms":[{"state":5}]})"), std::string(R"({"vms":5})"),
+          std::string(R"({"vms":[{"state":"leaving","address":5}]})"), R"({"vms":)" + nested(400000) + "}",
+          nested(400000)}) {
+        CAPTURE(broken.substr(0, 100));
+        auto const server = serve([&broken] { return broken; });
+        auto const name = "other-" + std::to_string(++number);
+        d.entry = d.processes.start(name, "cornel-entry",
+                                    {"--set", "id=\"e2\"", "--set", "listen.port=0", "--set",
+                                     "store.address=\"" + loopback(server->port()) + "\"", "--set",
+                                     "vm_list.address=\"" + loopback(server->port()) + "\"", "--set",
+                                     "vm_list.interval_ms=100"});
+        std::this_thread::sleep_for(milliseconds(400));
+        CHECK(d.send("GET", paths::health, "").response.status == 200);
+        CHECK(status_of(d, paths::writes,
+                        {{"service", "s"}, {"idempotency_key", "k"}, {"entity", "e"}, {"body", "b"}}) != 0);
+        CHECK(d.processes.stop(name, SIGTERM) == 0);
+    }
+}
