Entry node: a response of a backend server that is not UTF-8 does not end the process

What callers saw: a backend server answered a write with bytes that are not UTF-8. cornel-entry ended while it stored the result as JSON, and all its callers' connections were cut.

Cause: the body of the response goes into a write record and into the response to the caller as a JSON string; the JSON library throws for bytes that are not UTF-8, on a worker thread without a handler. Deeply nested answers of shards were parsed without a limit.

Change: a response to a write that cannot be a JSON string counts as broken: the write may have run, so the caller gets "outcome unknown" and it is not sent again. parse_message(), which reads answers of shards, write records and callers' requests, limits size, nesting and number of values (requests of callers are read more strictly by that, not less).

Evidence: "broken responses of a backend server do not end an entry node": 11 bodies for queries and writes.

Why it works: the text is tried as JSON before it is taken for a result.

--- a/include/cornelspring/protocol.hpp
+++ b/include/cornelspring/protocol.hpp
@@ -1,7 +1,7 @@
 /** @file protocol.hpp Messages between callers, entry nodes, backend servers and the store, and their JSON codecs. */
 #pragma once
 
-#include <cornelspring/base.hpp>
+#include <cornelspring/checked.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -147,8 +147,9 @@
  */
 template <class T> T parse_message(std::string const& text, char const* what)
 {
+    constexpr std::size_t max_bytes = 16 << 20;
     try {
-        return nlohmann::json::parse(text).get<T>();
+        return checked::parse(text, checked::encoding::json, max_bytes).get<T>();
     } catch (nlohmann::json::exception const& failure) {
         throw error(error_kind::bad_request, std::string("malformed ") + what + ": " + failure.what(),
                     "Send a JSON object with the fields of the API reference.");
--- a/src/coordination/write_coordinator.cpp
+++ b/src/coordination/write_coordinator.cpp
@@ -34,6 +34,16 @@
                   "It will not be run again under this key. Ask again later, or check with the service.");
 }
 
+/** @return whether @p text can be a string in JSON, which is UTF-8. */
+bool is_json_text(std::string const& text)
+{
+    try {
+        return !nlohmann::json(text).dump().empty();
+    } catch (nlohmann::json::exception const&) {
+        return false;
+    }
+}
+
 /** @return a hash of the request, to detect another request under the same key. */
 std::string request_fingerprint(write_request const& request)
 {
@@ -197,7 +207,7 @@
                 continue;
             }
             auto const& found = outcome.range_kvs.front();
-            auto const record = nlohmann::json::parse(found.value).get<write_record>();
+            auto const record = parse_message<write_record>(found.value, "write record");
             if (record.claim == own_record.claim && record.state == write_state::claimed) {
                 result.owned = true; // an earlier attempt took effect and its response was lost
                 return result;
@@ -271,7 +281,8 @@
         auto const call_result =
             m_client.call(target.address, json_post(paths::shard_write, nlohmann::json(message).dump()), time_left);
         auto const elapsed = std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - started_at);
-        if (call_result.outcome == send_outcome::answered && call_result.response.status == 200) {
+        bool const success = call_result.outcome == send_outcome::answered && call_result.response.status == 200;
+        if (success && is_json_text(call_result.response.body)) {
             update_tracker(target.name, attempt_outcome::succeeded, elapsed);
             result.reached = true;
             result.response =
--- a/tests/test_broken_entry_input.cpp
+++ b/tests/test_broken_entry_input.cpp
@@ -79,6 +79,41 @@
     d.wait_for_full_coverage();
 }
 
+TEST_CASE("broken responses of a backend server do not end an entry node")
+{
+    deployment d;
+    std::string body;
+    std::mutex mutex;
+    auto const server = serve([&] {
+        std::lock_guard lock(mutex);
+        return body;
+    });
+    REQUIRE(d.apply_resources("[[service]]\nname = \"s\"\ncustomer = \"c\"\nshards = 1\n[[backend]]\nname = \"b\"\n"
+                              "address = \"" +
+                              loopback(server->port()) + "\"\nservice = \"s\"\nshards = [0]\n") == 0);
+    int number = 0;
+    for (std::string const& broken :
+         {std::string(), std::string("abc"), std::string("\xff\xfe"), std::string("a\0b", 3), std::string("[]"),
+          nested(400000),
+          R"({"request_id":"r","service":"s","shard":0,"index_version":1,"backend":"b","hits":)" + nested(400000) + "}",
+          std::string(
+              R"({"request_id":"r","service":"s","shard":0,"index_version":1,"backend":"b","hits":[{"doc":1e400}]})"),
+          std::string(R"({"request_id":"r","service":"s","shard":1e300,"index_version":1,"backend":"b","hits":[]})"),
+          std::string(2000000, '['), std::string(20000000, ' ')}) {
+        CAPTURE(broken.substr(0, 100));
+        {
+            std::lock_guard lock(mutex);
+            body = broken;
+        }
+        CHECK(status_of(d, paths::query, {{"service", "s"}, {"query", "sea"}, {"request_id", "r"}}) == 503);
+        auto const written = status_of(
+            d, paths::writes,
+            {{"service", "s"}, {"idempotency_key", "k" + std::to_string(++number)}, {"entity", "e"}, {"body", "b"}});
+        CHECK(written != 0);
+        CHECK(d.send("GET", paths::health, "").response.status == 200);
+    }
+}
+
 TEST_CASE("broken responses of the store and of the VM list do not end an entry node")
 {
     deployment d; // For its clients and processes.
