Tools: invalid and endless responses are no responses for the HTTP/1.1 client

What users saw: cornel-load counted responses with the status 000, 099, 600 or 999 as answers, and kept a body without an end in memory until the timeout.

Cause: http_client took the status and the body from libwebsockets without a check.

Change: the status must pass parse_status(), and the body may have 16 MiB; otherwise the call ends as unknown and the connection is closed.

Headers, interim responses and bytes that are no HTTP without an end were refused before.

Why it works: both values are checked where libwebsockets hands them over.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -51,6 +51,9 @@
 
     void start_pending();
     void finish(std::uint64_t id, send_outcome outcome, std::string detail);
+    /** Finishes a call whose response is invalid or too large. @return the value by which the callback of libwebsockets
+     *  closes the connection. */
+    int reject_response(pending_request const& call, std::string detail);
     void check_deadlines();
     pending_request* find(lws* wsi);
 };
@@ -131,13 +134,20 @@
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE: return call == nullptr ? -1 : write_body(wsi, *call);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
         if (call != nullptr) {
-            call->result.response.status = static_cast<int>(lws_http_client_http_response(wsi));
+            auto const status = parse_status(std::to_string(lws_http_client_http_response(wsi)));
+            if (!status) return self.reject_response(*call, "the status of the response is invalid");
+            call->result.response.status = *status;
             copy_header(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type", call->result.response);
             copy_header(wsi, WSI_TOKEN_HTTP_RETRY_AFTER, "retry-after", call->result.response);
         }
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        if (call != nullptr) call->result.response.body.append(static_cast<char const*>(in), length);
+        if (call != nullptr) {
+            auto& body = call->result.response.body;
+            if (body.size() + length > message_limits{}.max_body_bytes)
+                return self.reject_response(*call, "the body of the response exceeds the limit");
+            body.append(static_cast<char const*>(in), length);
+        }
         return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP: {
         char buffer[LWS_PRE + read_buffer_size];
@@ -191,6 +201,12 @@
     if (call.done) call.done(std::move(call.result));
 }
 
+int http_client::impl::reject_response(pending_request const& call, std::string detail)
+{
+    finish(call.id, send_outcome::unknown, std::move(detail));
+    return -1;
+}
+
 void http_client::impl::start_pending()
 {
     std::vector<pending_request> ready;
--- a/tests/test_broken_h2_responses.cpp
+++ b/tests/test_broken_client_responses.cpp
@@ -1,5 +1,5 @@
-/** @file test_broken_h2_responses.cpp Responses over HTTP/2 that are invalid or too large: what the client makes of
- *  them. */
+/** @file test_broken_client_responses.cpp Responses that are invalid or too large: what the HTTP/2 client and the
+ *  HTTP/1.1 client of the tools make of them. */
 #include <cornelspring/transport.hpp>
 
 #include <doctest/doctest.h>
@@ -38,15 +38,15 @@
 std::string header(std::string const& fields, int flags = none) { return frame(headers, flags | end_headers, fields); }
 
 /** Sends the same bytes on each connection once the client has sent a request, and @c repeated until it closes. */
-class raw_h2_server {
+class raw_server {
 public:
-    explicit raw_h2_server(std::string response, std::string repeated = "")
+    explicit raw_server(std::string response, std::string repeated = "")
         : m_response(std::move(response)), m_repeated(std::move(repeated)),
           m_listener(m_loop, {"127.0.0.1", 0}, [this](int socket) { accept(socket); })
     {
         m_thread = std::thread([this] { m_loop.run(); });
     }
-    ~raw_h2_server()
+    ~raw_server()
     {
         m_stopping = true;
         m_thread.join();
@@ -61,7 +61,7 @@
             m_received += bytes;
             if (m_sent || m_received.find("/x") == std::string::npos) return;
             m_sent = true;
-            m_stream->send(frame(settings, none, "") + m_response);
+            m_stream->send(m_response);
         };
         m_stream = std::make_unique<tcp_stream>(m_loop, socket, stream_options{}, std::move(events));
         tick();
@@ -87,7 +87,7 @@
 /** @return the result of a call to a server that sends @p response. */
 client_result call(std::string const& response, std::string const& repeated = "")
 {
-    raw_h2_server server(response, repeated);
+    raw_server server(frame(settings, none, "") + response, repeated);
     h2_client client;
     http_request request;
     request.path = "/x";
@@ -188,3 +188,29 @@
     CHECK(together < 8);
     CHECK(answered_of({100000}) == 1);
 }
+
+TEST_CASE("http client: an invalid response is no response, and one without an end is not kept")
+{
+    std::string const rest = "content-length: 3\r\n\r\nabc";
+    auto const outcome_of = [](std::string const& response, std::string const& repeated = "") {
+        raw_server server(response, repeated);
+        http_client client;
+        http_request request;
+        request.path = "/x";
+        auto const result = client.call(server.address(), request, milliseconds(3000));
+        CHECK(result.response.body.size() <= message_limits{}.max_body_bytes);
+        return result.outcome;
+    };
+    CHECK(outcome_of("HTTP/1.1 200 OK\r\n" + rest) == send_outcome::answered);
+    for (std::string const status : {"000", "099", "600", "999"}) {
+        CAPTURE(status);
+        CHECK(outcome_of("HTTP/1.1 " + status + " OK\r\n" + rest) == send_outcome::unknown);
+    }
+    std::string const block(65536, 'a');
+    CHECK(outcome_of("HTTP/1.1 200 OK\r\n\r\n", block) == send_outcome::unknown);
+    CHECK(outcome_of("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n") ==
+          send_outcome::unknown);
+    CHECK(outcome_of("HTTP/1.1 200 OK\r\nx-fill: ", block) == send_outcome::unknown);
+    CHECK(outcome_of("", "HTTP/1.1 100 Continue\r\n\r\n") == send_outcome::unknown);
+    CHECK(outcome_of("\x16\x03\x01", block) == send_outcome::unknown);
+}
