Tests: a broken response to a hedge does not displace the response to the first attempt

Retries are in the other cases of test_broken_responses.cpp. This one plays hedges of single requests and of queries, with a gateway process: the first attempts take 600 ms, each hedge gets the status 000. Passed on the code as it is now.

--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace cornelspring;
 using namespace cornelspring::testing;
 
@@ -156,6 +158,27 @@
         CHECK(fleet.send_request(1, "/r/a", "no-body-" + std::to_string(i)).status == 304);
 }
 
+TEST_CASE("a broken response to a hedge does not displace the response to the first attempt")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto const broken = response_with("HTTP/1.1 000 OK");
+    for (char const* far : {"i-s-1", "i-g0-1", "i-g1-1", "i-g2-1", "i-g3-1"})
+        fleet.set_backend_behavior({{"backend", far}, {"mode", "raw"}, {"raw_response", broken}});
+    for (char const* near : {"i-s-0", "i-g0-0", "i-g1-0", "i-g2-0", "i-g3-0"})
+        fleet.set_backend_behavior({{"backend", near}, {"work_ms", 600}});
+    for (int i = 0; i < 4; ++i) {
+        auto const id = "hedge-" + std::to_string(i);
+        CHECK(fleet.send_request(1, "/r/" + id, "r-" + id).status == 200);
+        CHECK(fleet.send_request(1, "/q/" + id, "q-" + id).status == 200);
+    }
+    auto const journal = fleet.journal();
+    auto const hedged = std::count_if(journal.begin(), journal.end(), [](auto const& entry) {
+        return entry["backend"].template get<std::string>().ends_with("-1");
+    });
+    CHECK(hedged > 0);
+}
+
 TEST_CASE("valid responses in uncommon forms reach callers")
 {
     gateway_fleet fleet;
