Dispatcher: a success whose signature concerns only its connection is not passed on

What callers saw: a backend server named Server-Stamp in Connection, and the caller got a success without a signature.

Cause: the signature was looked for before the fields of the connection were removed (RFC 9110, 7.6.1).

Change: they are removed first; such a response is a 502, as any other success without a signature.

Evidence: "a response whose signature concerns only its connection is not a success", a gateway process and the stand-in: before, 200 == 502 for a read and a write; now both get 502.

Why it works: what is decided on is what the caller is sent.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -32,12 +32,12 @@
     if (!request.gathers()) {
         if (request.done == 1) {
             auto response = std::move(*request.shards[0].response);
+            remove_hop_by_hop(response.headers); // Connection may name the signature.
             // A non-idempotent request that ran must not get a status that says that it did not run.
             bool const promises = promises_not_run(response.status);
             bool const unsigned_success =
                 response.status / 100 == 2 && response.header(options.names.signature).empty();
             if (promises || unsigned_success) response = local_response(502, "the backend server failed");
-            remove_hop_by_hop(response.headers);
             finish(request.key, std::move(response), "answered", now);
         } else if (request.failed == 1) {
             finish(request.key, failure_response(request, false), "failed", now);
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -147,6 +147,16 @@
     CHECK(response.header("x-a").empty());
 }
 
+TEST_CASE("a response whose signature concerns only its connection is not a success")
+{
+    gateway_fleet fleet;
+    fleet.start_gateway(1);
+    auto const bytes = response_with("HTTP/1.1 200 OK", "connection: keep-alive, Server-Stamp\r\n");
+    fleet.set_backend_behavior({{"mode", "raw"}, {"raw_response", bytes}});
+    CHECK(fleet.send_request(1, "/r/a", "connection-r").status == 502);
+    CHECK(fleet.send_request(1, "/w/a", "connection-w", "POST", "b").status == 502);
+}
+
 TEST_CASE("a response without a body does not take bytes of the next one for it")
 {
     gateway_fleet fleet;
