Protocol: errors about malformed messages keep their remedy for callers

parse_message() passed the error of checked::parse on, whose remedy is for calls between gateways. It now names what was malformed and how to send it, as before. The store's error responses are read with the limits of its other responses.

--- a/include/cornelspring/protocol.hpp
+++ b/include/cornelspring/protocol.hpp
@@ -148,11 +148,20 @@
 template <class T> T parse_message(std::string const& text, char const* what)
 {
     constexpr std::size_t max_bytes = 16 << 20;
+    auto const malformed = [what](std::string const& problem) {
+        return error(error_kind::bad_request, std::string("malformed ") + what + ": " + problem,
+                     "Send a JSON object with the fields of the API reference.");
+    };
+    nlohmann::json fields;
     try {
-        return checked::parse(text, checked::encoding::json, max_bytes).get<T>();
+        fields = checked::parse(text, checked::encoding::json, max_bytes);
+    } catch (error const& failure) {
+        throw malformed(failure.message());
+    }
+    try {
+        return fields.get<T>();
     } catch (nlohmann::json::exception const& failure) {
-        throw error(error_kind::bad_request, std::string("malformed ") + what + ": " + failure.what(),
-                    "Send a JSON object with the fields of the API reference.");
+        throw malformed(failure.what());
     }
 }
 
--- a/src/coordination/store_client.cpp
+++ b/src/coordination/store_client.cpp
@@ -42,7 +42,12 @@
 /** @return the error that @p response, whose status is not 200, reports. */
 error error_of(http_response const& response)
 {
-    auto const body = nlohmann::json::parse(response.body, nullptr, false);
+    nlohmann::json body;
+    try {
+        body = checked::parse(response.body, checked::encoding::json, max_response_bytes);
+    } catch (error const&) {
+        // The error below contains the body as it is.
+    }
     auto const text = [&body](char const* name, std::string const& fallback) {
         if (!body.is_object()) return fallback;
         auto const found = body.find(name);
