--- a/tests/test_odd_entries.cpp
+++ b/tests/test_odd_entries.cpp
@@ -27,7 +27,7 @@
         return entry.substr(0, at) + value + entry.substr(entry.find_first_of(",}", at));
     };
     std::vector<std::string> all{nested(400000),
-                                 std::string(800000, '['),
+                                 std::string(1048000, '['),
                                  R"({"a":)" + nested(400000) + "}",
                                  with("version", nested(400000)),
                                  with("service", nested(1000)),
